Let ten nodes share a server instead of thirty, so that each can learn of it

A node of 80 works with 23 to 26 of 60 servers and so meets each less than once a second: smoothed with a gain of 0.1 and forgotten in 3 s, what it sees of one never outweighs the fleet's mean.

Ruled out: processor time (0.2 s of 25 s a node), descriptors (69 of 384) and connections that could not be made (none before the zone is lost).

At fault: reachNodes in decide.go, and survey, which fills the reach by it.

With 10 nodes a server, 80 nodes and 60 servers make a reach of 8.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,7 +23,7 @@
 	highPart    = 3.0                    // R as a multiple of H: room for priority work, which comes in lumps
 	worthCut    = 0.1                    // part of the top worth up to which no request counts as priority
 	reachLeast  = 4.0                    // servers that a node works with, at least: some may fail together
-	reachNodes  = 30.0                   // nodes that work with a server, on average: it takes few connections
+	reachNodes  = 10.0                   // nodes at a server, on average: each must often hear from it
 	poolUnder   = 0.33                   // mean H of the servers in reach under which they are judged together
 	poolSamples = 10.0                   // answers in the time over which their count is smoothed
 	chance      = 3.0                    // times the root of H, by which a count may be above H for a moment
@@ -132,7 +132,8 @@
 }
 
 // survey renews what the thresholds need of the servers in reach: of those open to a group, the next on the
-// ring that are no suspects. A node of many works with a part of the fleet, as servers take few connections.
+// ring that are no suspects. A node of many works with a part of the fleet: servers take few connections, and
+// of a server that it meets every few seconds it learns of a crowd or a slowdown when that is over.
 func (m *Module) survey() {
 	rate, count, reach := 0.0, 0.0, 0.0
 	for _, g := range m.groups {
--- a/decide/pool_test.go
+++ b/decide/pool_test.go
@@ -25,14 +25,14 @@
 	count := map[ServerID]int{}
 	for self := range nodes {
 		m := manyNodes(self, nodes, servers)
-		if len(m.groups[0].near) != 5 {
-			t.Fatalf("node %d works with %d servers, want %v", self, len(m.groups[0].near), 5)
+		if len(m.groups[0].near) != reachLeast {
+			t.Fatalf("node %d works with %d servers, want %v", self, len(m.groups[0].near), reachLeast)
 		}
 		for _, s := range m.groups[0].near {
 			count[s.ID]++
 		}
 	}
-	want := nodes * 5 / servers
+	want := nodes * int(reachLeast) / servers
 	for id := range servers {
 		if n := count[ServerID(id+1)]; n < want-3 || n > want+3 {
 			t.Errorf("server %d is in reach of %d nodes, want about %d", id+1, n, want)
@@ -43,6 +43,20 @@
 	}
 }
 
+// A server answers about 30 requests a second. A node that is to learn of a crowd there while it lasts must see some of
+// those answers within the time that its memory of them holds, and still have servers enough to choose from.
+func TestReachLeavesAnswersToLearnFrom(t *testing.T) {
+	for _, size := range []struct{ nodes, servers int }{{80, 60}, {80, 40}, {120, 60}, {40, 30}} {
+		m := manyNodes(1, size.nodes, size.servers)
+		near := float64(len(m.groups[0].near))
+		seen := 30 * float64(size.servers) / float64(size.nodes) / near * rateTau
+		if seen < 6 || near < reachLeast {
+			t.Errorf("one of %d nodes at %d servers works with %v of them and sees %.1f answers of each within %v s",
+				size.nodes, size.servers, near, seen, rateTau)
+		}
+	}
+}
+
 // A server that leaves the list changes little of what a node works with; a suspect's place is taken by the next.
 func TestReachIsStable(t *testing.T) {
 	for self := range 50 {
@@ -63,13 +77,13 @@
 		}
 		first := m.groups[0].near[0]
 		m.accuse(first, "test")
-		if m.survey(); len(m.groups[0].near) != 5 || m.groups[0].near[0] == first {
+		if m.survey(); len(m.groups[0].near) != reachLeast || m.groups[0].near[0] == first {
 			t.Errorf("node %d: a suspect keeps its place", self)
 		}
 	}
 }
 
-// pooledNode is one of many nodes, with 2 answers a second of 100 ms from each of six servers.
+// pooledNode is one of many nodes, with an answer of 100 ms each two seconds from each server in reach.
 func pooledNode(t *testing.T) *Module {
 	m := manyNodes(1, 360, 60)
 	m.learned, m.mean, m.base, m.tight, m.fleetRate, m.peak = true, 0.1, 0.1, 1, 0.5, 0.5
