Put R at 1.2 times H: room above it only fills with retries and tips servers over

Until R the part of priority requests that is shed rises with the count from 0 at H to 1 at R = 3 H. Refused clients come back at once, 3.5 tries for each request, so that balance is only found far above H: at about 2.4 H half the servers' work is for answers that come too late.

At fault: highPart in decide.go, used by pool and modeOf.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,7 +20,7 @@
 	queueShare  = 1.5                    // and this over the nodes at a server: own counts tell less among many
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
 	lowPart     = 0.75                   // L as a part of H: the hysteresis; of small counts half is one or none
-	highPart    = 3.0                    // R as a multiple of H: room for priority work, which comes in lumps
+	highPart    = 1.2                    // R as a multiple of H: refused clients soon fill what room there is
 	worthCut    = 0.1                    // part of the top worth up to which no request counts as priority
 	reachLeast  = 4.0                    // servers that a node works with, at least: some may fail together
 	reachNodes  = 10.0                   // nodes at a server, on average: each must often hear from it
--- a/decide/pool_test.go
+++ b/decide/pool_test.go
@@ -115,10 +115,10 @@
 	}
 	m = pooledNode(t)
 	for _, s := range m.groups[0].near {
-		s.n = 0.25 // 1.5 in all
+		s.n = 1.1 * s.high // between H and R
 	}
 	m.groups[0].smooth = 0
-	for range 200 {
+	for range 500 {
 		m.now += tickEvery
 		for _, s := range m.groups[0].near {
 			s.rateAt = m.now
@@ -126,7 +126,7 @@
 		m.pool(m.groups[0])
 	}
 	if m.groups[0].mode != Overloaded {
-		t.Errorf("1.5 requests for 5 s: %v", m.groups[0].mode)
+		t.Errorf("a tenth more than H for 12 s: %v", m.groups[0].mode)
 	}
 	for _, s := range m.groups[0].near {
 		s.n = 0
@@ -140,6 +140,28 @@
 	}
 }
 
+// Clients that are refused come back at once, so an overload fills what room there is above H. With half as many again
+// as H at all servers, all of them have queues: nothing more may go there, whatever its worth.
+func TestNoRoomFarAboveH(t *testing.T) {
+	m := pooledNode(t)
+	g := m.groups[0]
+	for range 200 {
+		m.now += tickEvery
+		for _, s := range g.near {
+			s.rateAt, s.n = m.now, 1.5*s.high
+		}
+		m.pool(g)
+	}
+	if g.mode != Blocking || g.fill != 1 {
+		t.Errorf("half as many again as H for 5 s: mode %v, fill %.2f", g.mode, g.fill)
+	}
+	for _, a := range m.Handle(m.now, RequestArrived{ID: "a", Class: "page", Patience: time.Second}) {
+		if s, ok := a.(Send); ok {
+			t.Errorf("sent to %d all the same", s.Server)
+		}
+	}
+}
+
 // A full answer blocks its own server also while servers are judged together.
 func TestImposedModeWhilePooled(t *testing.T) {
 	m := pooledNode(t)
