Wait for the old watch to begin before the reload test ends it

TestReloadMovesDiscovery failed once in a loaded run: it moved discovery as soon as the first list was known, which can be before the watch on that list has been asked for, and then waited for the end of a watch that never began. The list server now says when a watch begins, and the test waits for that.

--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -181,12 +181,13 @@
 }
 
 // listServer is a discovery with one list, which it gives to who has another
-// version; watches on it hang. gone gets a value when one ends.
-func listServer(t *testing.T, index int, entries ...string) (address string, gone chan bool) {
+// version; watches on it hang. watched gets a value when one begins, gone when it ends.
+func listServer(t *testing.T, index int, entries ...string) (address string, watched, gone chan bool) {
 	t.Helper()
-	gone = make(chan bool, 100)
+	watched, gone = make(chan bool, 100), make(chan bool, 100)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("from") == fmt.Sprint(index) {
+			watched <- true
 			<-r.Context().Done()
 			gone <- true
 			return
@@ -194,7 +195,7 @@
 		fmt.Fprintf(w, `{"index":%d,"snapshot":true,"endpoints":[%s]}`, index, strings.Join(entries, ","))
 	}))
 	t.Cleanup(s.CloseClientConnections)
-	return s.Listener.Addr().String(), gone
+	return s.Listener.Addr().String(), watched, gone
 }
 
 // TestReloadMovesDiscovery: the old watch ends, and the list at the new
@@ -215,12 +216,13 @@
 			}
 		}
 	}
-	first, firstGone := listServer(t, 9, entryJSON("a", "127.0.0.1:1", "ready"))
-	second, _ := listServer(t, 3, entryJSON("b", "127.0.0.1:2", "ready"))
+	first, firstWatched, firstGone := listServer(t, 9, entryJSON("a", "127.0.0.1:1", "ready"))
+	second, _, _ := listServer(t, 3, entryJSON("b", "127.0.0.1:2", "ready"))
 	cfg := n.cfg
 	cfg.Discovery = first
 	n.Reload(cfg)
 	until("[a]")
+	wait(t, firstWatched, "the old watch") // the list is known before it begins
 	var late *discovery
 	n.post(func() { late = n.discovery })
 	cfg.Discovery = second
