Order the servers in eight rings, so that nodes sharing one server share few others

Nodes with neighbouring places on the one ring work with nearly the same servers, so a slow neighbourhood cannot pass its load on, and the load of lost servers all moves to the next ones on the ring.

At fault: follow and serverOf, which gave all nodes the same order.

The order is now hashed with the node's number modulo 8, and the ten nodes of a ring of 80 start evenly spread over it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,6 +23,7 @@
 	highPart    = 1.2                    // R as a multiple of H: refused clients soon fill what room there is
 	worthCut    = 0.1                    // part of the top worth up to which no request counts as priority
 	reachLeast  = 4.0                    // servers that a node works with, at least: some may fail together
+	rings       = 8                      // orders of the servers: neighbours in one are far apart in the others
 	reachNodes  = 10.0                   // nodes at a server, on average: each must often hear from it
 	poolUnder   = 0.33                   // mean H of the servers in reach under which they are judged together
 	poolSamples = 10.0                   // answers in the time over which their count is smoothed
@@ -705,7 +706,9 @@
 		delete(m.known, id) // its attempts still know it; ids change for months
 	}
 	slices.SortFunc(m.list, func(a, b *server) int { return cmp.Compare(a.order, b.order) })
-	start := int(float64(len(m.list)) * math.Mod(float64(m.set.Self)*math.Phi, 1))
+	// Nodes of one ring start evenly spread over it. Were there but one ring, nodes that share a server would
+	// share most others: a crowd there, or the load of servers lost, could only move on to the next few.
+	start := int(float64(len(m.list)) * math.Mod(float64(m.set.Self/rings)*math.Phi+float64(m.ring())/rings, 1))
 	m.list = append(append([]*server{}, m.list[start:]...), m.list[:start]...)
 	m.sharers = 0
 	for _, g := range m.groups {
--- a/decide/state.go
+++ b/decide/state.go
@@ -194,11 +194,15 @@
 
 func (m *Module) serverOf(id ServerID) *server {
 	if m.known[id] == nil {
-		m.known[id] = &server{since: m.now, quietUntil: m.now, dither: m.random(), order: mix(uint64(id))}
+		m.known[id] = &server{since: m.now, quietUntil: m.now, dither: m.random(),
+			order: mix(uint64(m.ring())<<32 | uint64(id))}
 	}
 	return m.known[id]
 }
 
+// ring is the order of the servers that this node goes by.
+func (m *Module) ring() int { return m.set.Self % rings }
+
 func (m *Module) do(a Action) { m.out = append(m.out, a) }
 
 // note logs a line about a server, at most one in 5 s, so that one that fails and recovers all the time fills no disk.
