Expect a server that has not answered lately to be like its kind, not the fleet

A node of 80 gets about 3 answers a second from a server in reach, smooths them over ten, and forgets in 3 s what set that server apart from the fleet's mean: for the pick most servers are the mean.

At fault: latencyOf, which drifts to m.mean.

A server now drifts to the recent latency of its kind, which all servers of the kind teach; the fleet's mean stands in until some answers have come.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,7 @@
 	coldGrowth  = 0.5                    // of the overload factor, times what a cold server can do
 	kindGain    = 0.006                  // the same over a kind: its least is kept, so chance must be small
 	kindCount   = 50.0                   // answers of a kind of machine after which its latency counts
+	kindPrior   = 10.0                   // answers of a kind that count as much as the mean of all
 	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
 	rateTau     = 3.0                    // s; what a node has seen of a server holds about as long
 	memoryTau   = 600.0                  // s; to forget peak rates and uncrowded latency: longer than troubles
@@ -248,9 +249,15 @@
 	return s.rate * decay(m.now-s.rateAt, rateTau) / (1 - decay(m.now-s.since+tickEvery, rateTau))
 }
 
-// latencyOf lets a value that is not renewed drift to the fleet's mean: the server is tried again.
+// latencyOf lets a value that is not renewed drift to that of the server's kind: the server is tried again.
 func (m *Module) latencyOf(s *server) float64 {
-	return m.mean + s.excess*decay(m.now-s.latencyAt, rateTau)
+	return m.usual(s) + s.excess*decay(m.now-s.latencyAt, rateTau)
+}
+
+// usual is what a server of the kind takes, of which a node of many knows more than of any one server. The
+// fleet's mean stands in for a few answers.
+func (m *Module) usual(s *server) float64 {
+	return m.mean + (s.kind.recent-m.mean)*s.kind.answers/(s.kind.answers+kindPrior)
 }
 
 func (m *Module) learn(a *attempt, r *request, took time.Duration) {
@@ -265,6 +272,7 @@
 	k := a.server.kind
 	k.answers++
 	k.mean += max(kindGain, 1/k.answers) * (t/c.relative - k.mean)
+	k.recent += max(classGain, 1/k.answers) * (t/c.relative - k.recent)
 	m.weigh(a.server, c, took)
 }
 
@@ -272,7 +280,7 @@
 func (m *Module) weigh(s *server, c *class, took time.Duration) {
 	l := m.latencyOf(s)
 	l += latencyGain * (math.Min(took.Seconds()/c.relative, muteFactor*math.Max(l, m.mean)) - l)
-	s.excess, s.latencyAt = l-m.mean, m.now
+	s.excess, s.latencyAt = l-m.usual(s), m.now
 }
 
 // judge takes the outcome of an attempt. A failure counts as a slow answer: failing fast must not attract
--- a/decide/pool_test.go
+++ b/decide/pool_test.go
@@ -310,6 +310,37 @@
 	}
 }
 
+// TestUnknownServerIsExpectedToBeLikeItsKind: a node of many hears too seldom from one server to know it, but often from
+// its kind. By the fleet's mean a slow machine looks as good as a fast one whenever it has not answered for a while.
+func TestUnknownServerIsExpectedToBeLikeItsKind(t *testing.T) {
+	set := Settings{Nodes: 80, Kinds: []string{"fast", "slow"}, Classes: []Class{{Name: "page", Worth: 1, Aim: 2 * time.Second}}}
+	m := New(set, 1)
+	m.now = time.Hour
+	var list []Server
+	for id := range ServerID(8) {
+		list = append(list, Server{ID: id, Kind: set.Kinds[id%2], State: Ready})
+	}
+	m.follow(ListUpdate{Kind: ListFull, Entries: list})
+	if m.latencyOf(m.known[6]) != m.latencyOf(m.known[7]) {
+		t.Error("kinds differ before anything is known of them")
+	}
+	for i := range 200 { // only the first six answer
+		m.now += 50 * time.Millisecond
+		s, took := m.known[ServerID(i%6)], 40*time.Millisecond
+		if i%2 == 1 {
+			took = 120 * time.Millisecond
+		}
+		m.judge(s, &request{class: m.order[0], heavy: 1, attempts: []attempt{{server: s}}}, AttemptEnded{Elapsed: took})
+	}
+	if fast, slow := m.latencyOf(m.known[6]), m.latencyOf(m.known[7]); slow < 2*fast {
+		t.Errorf("%.3f s is expected of the fast and %.3f s of the slow, want about three times as much", fast, slow)
+	}
+	m.now += time.Minute
+	if fast, slow := m.latencyOf(m.known[0]), m.latencyOf(m.known[1]); slow < 2*fast {
+		t.Errorf("a minute later %.3f s and %.3f s are expected of those that answered", fast, slow)
+	}
+}
+
 // What a client did wrong, or this node could not do, is no failure of the server; and the first ends the request.
 func TestNoBlame(t *testing.T) {
 	for _, code := range []OutcomeCode{Unusable, Moot} {
--- a/decide/state.go
+++ b/decide/state.go
@@ -66,6 +66,7 @@
 // kind is a kind of machine: a wide and slow one answers later than a narrow and fast one that does as much.
 type kind struct {
 	answers, mean, base float64 // s, smoothed latency of a mean request; uncrowded
+	recent              float64 // s, the latency smoothed over a shorter time
 }
 
 type attempt struct {
