Take a time-out as a sign that its server is overloaded, for three seconds

With two requests a second at a server a node counts 0 or 1 there and judges all in reach together, and one time-out moves the smoothed latency by a third of itself, most of it forgotten before the next.

At fault: judge, which takes a time-out for a slow answer and a strike only.

A time-out now imposes the overloaded mode on its server, as a full answer imposes the blocked one, and leaves a mode that is imposed already. It lapses after 3 s: a crowded server recovers only in seconds of little work.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -14,6 +14,7 @@
 	lookToken   = 1                      // of the timer that ends a look; the round of checks has 0
 	tickEvery   = 25 * time.Millisecond  // s; the round of checks: well under any aim
 	validity    = time.Second            // s; oc-validity of the paper: an imposed mode lapses after it
+	crowdRest   = 3 * time.Second        // s; a crowded server needs some seconds of little work to recover
 	recompute   = 500 * time.Millisecond // s; period of q: many arrivals, yet far shorter than a trouble
 	aimPart     = 0.4                    // part of an aim that the class's mean delay may take: tails are long
 	queueFactor = 1.3                    // of the uncrowded latency: long queues harm where crowds slow servers,
@@ -308,6 +309,9 @@
 			m.note(s, fmt.Sprintf("answers again; cold start assumed: %v", s.cold))
 		}
 	default:
+		if e.Code == TimedOut && m.now >= s.imposedUntil { // its queue is longer than requests can wait
+			s.imposed, s.imposedUntil = Overloaded, m.now+crowdRest
+		}
 		m.weigh(s, r.class, max(e.Elapsed, r.class.Aim))
 		m.strike(s, e.Code)
 	}
--- a/decide/pool_test.go
+++ b/decide/pool_test.go
@@ -200,6 +200,33 @@
 	}
 }
 
+// One request that times out tells that a server's queue is longer than clients wait, which its few own requests there
+// do not show a node of many. It is overloaded for some seconds, in which others get the work; a full one stays blocked.
+func TestTimeOutMeansOverloaded(t *testing.T) {
+	m := pooledNode(t)
+	g := m.groups[0]
+	s, full := g.near[0], g.near[1]
+	r := &request{class: m.order[0], heavy: 1, attempts: []attempt{{server: s}}}
+	m.impose(full, Blocking)
+	for _, to := range []*server{s, full} {
+		m.judge(to, r, AttemptEnded{Code: TimedOut, Elapsed: time.Second})
+	}
+	if got := m.modeOf(g, s); got != Overloaded || s.suspect {
+		t.Errorf("after a time-out: mode %v, suspect %v", got, s.suspect)
+	}
+	if got := m.modeOf(g, full); got != Blocking {
+		t.Errorf("a full server whose request timed out: mode %v", got)
+	}
+	for i := range 50 {
+		if to, mode := m.pick(&request{class: m.order[0], heavy: 1, deadline: m.now + time.Second}); to == s || mode != Normal {
+			t.Fatalf("request %d goes to server %v in mode %v", i, to, mode)
+		}
+	}
+	if m.now += crowdRest; m.modeOf(g, s) != Normal {
+		t.Error("the mode did not lapse")
+	}
+}
+
 // Thirty nodes with a whole send each for a server that has just started are a burst that pushes it over.
 func TestColdBudgetsOfManyNodes(t *testing.T) {
 	sends := 0
