End before SIGKILL may come, with every request taken answered

"node n5 took request 2.94 s after it was told to end, and had not answered it when its time to end was up".

For deadlines under 0.9 s the plan (1.6 s at least) was past SIGKILL as well. And a request open at SIGTERM kept its own deadline, which may be past the node's end: srv.Close then cut it. Ruled out: unread answers and the module, which ends what is open at its deadline.

Design: one timetable (stagesOf) from the time after which SIGKILL may come: clients are asked to close, all is answered 0.3 s before it, what is left is closed 0.15 s before it. The loop, the one owner of requests, cuts the deadlines of what is open at the order to stop and of what comes later; before, the front end cut those of later ones alone.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -20,9 +20,13 @@
 )
 
 const (
-	lingerTime  = 600 * time.Millisecond  // after SIGTERM new connections still come for a while
-	finishTime  = time.Second             // the last requests then get so long before the node ends
-	finishSlack = 400 * time.Millisecond  // it ends the longest deadline and this after SIGTERM, lest it be killed
+	longestHeld = 3 * time.Second         // SIGKILL waits for the longest deadline, for a longer one only so long,
+	killSlack   = 700 * time.Millisecond  // and so long more, both from SIGTERM
+	answerSlack = 300 * time.Millisecond  // before SIGKILL all answers are given: a busy node writes for a while
+	closeSlack  = 150 * time.Millisecond  // before SIGKILL the node ends by itself
+	comeTime    = 450 * time.Millisecond  // after SIGTERM new connections still come for 0.2 to 0.4 s
+	finishTime  = time.Second             // the last requests get so long, where there is time
+	lingerStep  = 50 * time.Millisecond   // between looks at whether all clients have gone
 	headTime    = 2 * time.Second         // for a request's head
 	readTime    = 2500 * time.Millisecond // for a whole request
 	writeTime   = 5 * time.Second         // for an answer
@@ -37,23 +41,43 @@
 	node    *Node
 	most    int                      // connections
 	effects map[string]decide.Effect // of the classes
-	longest time.Duration            // deadline of a class
-	linger  func(open func() int)    // goes on serving for a while after the order to stop
+	stages  stages
+	linger  func(open func() int) // goes on serving for a while after the order to stop
 	ready   atomic.Bool
-	endsAt  atomic.Int64 // what the node takes after the order to stop is answered by then: its clock; 0: no such order
-	leaving atomic.Bool  // clients are asked to close
+	ordered atomic.Bool // to stop
+	leaving atomic.Bool // clients are asked to close
+}
+
+// stages tells when what happens after the order to stop, counted from it.
+type stages struct {
+	leave    time.Duration // clients are asked to close
+	answered time.Duration // all that was taken has its answer
+	closed   time.Duration // what connections are left are closed
+}
+
+// stagesOf fits the end into the time that is left before the node is killed.
+// Clients send on every connection that they have up to then, so all of them
+// have to be closed before, however long their deadlines are.
+func stagesOf(longest time.Duration) stages {
+	kill := min(longest, longestHeld) + killSlack
+	e := stages{answered: kill - answerSlack, closed: kill - closeSlack}
+	e.leave = min(max(comeTime, e.answered-finishTime), e.answered)
+	return e
 }
 
 func newFrontend(n *Node, most int) *frontend {
 	f := &frontend{node: n, most: most, effects: map[string]decide.Effect{}}
+	longest := time.Duration(0)
 	for _, c := range n.cfg.Settings.Classes {
 		f.effects[c.Name] = c.Effect
-		f.longest = max(f.longest, c.Deadline)
+		longest = max(longest, c.Deadline)
 	}
+	f.stages = stagesOf(longest)
 	f.linger = func(open func() int) {
-		for waited := time.Duration(0); waited < lingerTime || open() > 0 && waited < f.longest+finishSlack-finishTime; {
-			time.Sleep(lingerTime / 10)
-			waited += lingerTime / 10
+		began := time.Now()
+		for waited := time.Duration(0); waited < min(comeTime, f.stages.leave) || open() > 0 && waited < f.stages.leave; {
+			time.Sleep(lingerStep)
+			waited = time.Since(began)
 		}
 	}
 	return f
@@ -76,16 +100,17 @@
 		return fmt.Errorf("serving clients: %w", err)
 	case <-ctx.Done():
 	}
-	ends := time.Now().Add(max(f.longest+finishSlack, lingerTime+finishTime))
-	f.endsAt.Store(ends.UnixNano())
+	began := time.Now()
+	f.ordered.Store(true)
+	f.node.post(func() { f.node.answerBy(began.Add(f.stages.answered)) })
 	f.linger(func() int { return limited.open() })
 	f.leaving.Store(true)
-	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), ends)
+	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(f.stages.closed))
 	defer cancel()
 	err := srv.Shutdown(end)
 	if errors.Is(err, context.DeadlineExceeded) {
-		// All requests are past their deadlines and so are answered: what is
-		// left are connections on which none has come.
+		// All requests have been answered: what is left are connections on
+		// which none has come.
 		return srv.Close()
 	}
 	return err
@@ -98,7 +123,7 @@
 	}
 	switch r.URL.Path {
 	case "/health/ready":
-		if !f.ready.Load() || f.endsAt.Load() != 0 {
+		if !f.ready.Load() || f.ordered.Load() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -201,13 +226,7 @@
 		return bad(http.StatusBadRequest, "reading the body: %w", err)
 	}
 	u := url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
-	deadline := arrived.Add(patience - answerMargin)
-	if ends := f.endsAt.Load(); ends != 0 {
-		if last := time.Unix(0, ends).Add(-answerMargin); last.Before(deadline) {
-			deadline = last
-		}
-	}
-	return &request{id: e.ID, deadline: deadline, answer: make(chan answer, 1),
+	return &request{id: e.ID, deadline: arrived.Add(patience - answerMargin), answer: make(chan answer, 1),
 		out: &outbound{method: r.Method, url: &u, host: r.Host, header: endToEnd(r.Header), body: body}}, e, 0, nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 	listed   map[string]decide.ServerID
 	requests map[decide.RequestID]*request
 	queue    []decide.Event // that came of actions, to be handled next
+	ends     time.Time      // all answers are given by then; zero: no order to stop yet
 }
 
 // request is a client's request until it is answered and its attempts have ended.
@@ -224,6 +225,9 @@
 		r.answer <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
+	if !n.ends.IsZero() && n.ends.Before(r.deadline) {
+		r.deadline = n.ends
+	}
 	e.Patience = time.Until(r.deadline)
 	n.requests[r.id] = r
 	// The module ends a request at its deadline. The guard is for one that it
@@ -242,6 +246,18 @@
 	n.handle(e)
 }
 
+// answerBy has every request answered by then, those that are open and those
+// that are still to come: the node is about to end.
+func (n *Node) answerBy(ends time.Time) {
+	n.ends = ends
+	for _, r := range n.requests {
+		if !r.done && ends.Before(r.deadline) {
+			r.deadline = ends
+			r.guard.Reset(time.Until(ends))
+		}
+	}
+}
+
 // abandon ends a request whose client has gone.
 func (n *Node) abandon(r *request) {
 	if !r.done {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -68,6 +68,7 @@
 	lingered := make(chan struct{})
 	n.linger = sync.OnceFunc(func() { close(lingered) })
 	n.front.linger = func(func() int) { <-lingered }
+	n.front.stages = stages{answered: enough, closed: 2 * enough} // tests that want less say so
 	go func() { n.ended <- n.Run(ctx, ln) }()
 	t.Cleanup(func() {
 		stop()
@@ -424,7 +425,7 @@
 	}
 	ask("before")
 	n.stop()
-	for until := time.Now().Add(enough); n.front.endsAt.Load() == 0 && time.Now().Before(until); {
+	for until := time.Now().Add(enough); !n.front.ordered.Load() && time.Now().Before(until); {
 		time.Sleep(time.Millisecond)
 	}
 	if resp := ask("after"); resp.Close {
