Bound calls to the discovery agent by the drain grace

Cause: where lists are pushed, what the agent has counts as told whether or not a call waits there, and what it gets at its return from an outage counts at once. The node's calls were bounded by 7 s (holdPushed and callGrace in discovery.go) and the wait between failed ones by 1.5 s (backoffHigh, jittered): a call that hung since the outage, or such a wait, could outlast the grace of 1 s.

Design: for pushed lists a call is held and may be late by a quarter of the grace that the settings name, and waits grow to an eighth of it; asked lists keep their figures, as calls cost there. A long outage is still logged once. A new process asks for the whole list: the version it was started with may be of another discovery.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -17,14 +17,35 @@
 )
 
 const (
-	holdPushed  = 5 * time.Second  // a watch on the agent costs nothing; a short one finds a dead link soon
 	holdAsked   = 20 * time.Second // a call to the shared service costs it work
-	callGrace   = 2 * time.Second  // an answer may come so long after the hold is over
+	lateAsked   = 2 * time.Second  // and calls wait for their turn there
 	backoffLow  = 50 * time.Millisecond
 	backoffHigh = time.Second
-	maxList     = 4 << 20 // bytes of a list; a thousand servers take a twentieth
+	leastGrace  = 400 * time.Millisecond // calls to the agent cost the node processor time, if nothing else
+	mostGrace   = 4 * time.Second        // a watch that has fallen silent must be found within 6 s in any case
+	maxList     = 4 << 20                // bytes of a list; a thousand servers take a twentieth
 )
 
+// pace bounds the calls of a watch.
+type pace struct {
+	hold    time.Duration // discovery may keep a call for so long when it has no news
+	late    time.Duration // and its answer may come so much later
+	backoff time.Duration // the longest wait between calls that fail, before jitter
+}
+
+// paceOf gives the pace for lists that are asked for, or pushed to the agent
+// on this machine. What the agent has counts as told, whether or not a call of
+// the node waits there, and the servers that leave have to be spared within
+// the grace: a call that hangs since an outage and the wait behind it must be
+// over well before. Calls to the agent cost nothing.
+func paceOf(asked bool, grace time.Duration) pace {
+	if asked {
+		return pace{hold: holdAsked, late: lateAsked, backoff: backoffHigh}
+	}
+	grace = min(max(grace, leastGrace), mostGrace)
+	return pace{hold: grace / 4, late: grace / 4, backoff: grace / 8}
+}
+
 // list is a list of servers in discovery's form.
 type list struct {
 	Index    uint64            `json:"index"`
@@ -125,32 +146,29 @@
 type discovery struct {
 	url    string
 	client *http.Client
-	hold   time.Duration
+	pace   pace
 	log    *slog.Logger
 	index  uint64 // 0: none yet, so that the whole list is asked for
 	listed func(list)
 	failed func()
+	down   bool // no call has been answered since one failed
 
 	ended chan struct{}      // closed when this discovery is no longer the node's
 	stop  context.CancelFunc // of the task under way
 	done  chan struct{}      // closed when it has ended
 }
 
-func newDiscovery(address string, asked bool, log *slog.Logger, listed func(list), failed func()) *discovery {
-	hold := holdPushed
-	if asked {
-		hold = holdAsked
-	}
-	return &discovery{url: "http://" + address + "/registry/instances", hold: hold, log: log, listed: listed, failed: failed,
+func newDiscovery(address string, p pace, log *slog.Logger, listed func(list), failed func()) *discovery {
+	return &discovery{url: "http://" + address + "/registry/instances", pace: p, log: log, listed: listed, failed: failed,
 		ended: make(chan struct{}),
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
-			DialContext: (&net.Dialer{Timeout: callGrace}).DialContext}}}
+			DialContext: (&net.Dialer{Timeout: p.late}).DialContext}}}
 }
 
 // call asks once and passes the answer on. The time-out guards against a
 // discovery that takes a call and says nothing.
 func (d *discovery) call(ctx context.Context, query string, hold time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, hold+callGrace)
+	ctx, cancel := context.WithTimeout(ctx, hold+d.pace.late)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
 	if err != nil {
@@ -175,7 +193,7 @@
 	if err := json.Unmarshal(body, &l); err != nil {
 		return fmt.Errorf("discovery's list: %w", err)
 	}
-	d.index = l.Index
+	d.index, d.down = l.Index, false
 	d.listed(l)
 	return nil
 }
@@ -213,10 +231,10 @@
 	}
 	for {
 		began, before := time.Now(), d.index
-		if err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", d.index, d.hold.Milliseconds()), d.hold); err != nil {
+		if err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", d.index, d.pace.hold.Milliseconds()), d.pace.hold); err != nil {
 			return err
 		}
-		if d.index == before && time.Since(began) < d.hold/100 {
+		if d.index == before && time.Since(began) < d.pace.hold/100 {
 			// An agent that does not hold calls must not be called in a loop.
 			if !sleep(ctx, 100*time.Millisecond) {
 				return ctx.Err()
@@ -233,21 +251,18 @@
 	defer cancel()
 	wait := backoffLow
 	for ctx.Err() == nil {
-		began, before := time.Now(), d.index
 		err := d.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if d.index != before || time.Since(began) > d.hold+callGrace {
-			wait = backoffLow
-		}
-		if wait == backoffLow { // a long outage is one line, not one for each try
+		if !d.down { // a long outage is one line, not one for each try
+			d.down, wait = true, backoffLow
 			d.log.Warn("discovery failed, watching again", "err", err)
 		}
 		if !sleep(ctx, time.Duration(float64(wait)*(0.5+rand.Float64()))) {
 			return
 		}
-		wait = min(2*wait, backoffHigh)
+		wait = min(2*wait, d.pace.backoff)
 	}
 }
 
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -84,9 +84,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	lists := make(chan list, 10)
-	d := newDiscovery(s.Listener.Addr().String(), false, quiet, func(l list) { lists <- l }, func() { t.Error("told a failure") })
+	d := newDiscovery(s.Listener.Addr().String(), pace{time.Millisecond, time.Second, time.Second}, quiet,
+		func(l list) { lists <- l }, func() { t.Error("told a failure") })
 	d.index = 41
-	d.hold = time.Millisecond
 	go d.follow(ctx)
 	select {
 	case l := <-lists:
@@ -121,7 +121,7 @@
 	}))
 	defer s.Close()
 	lists, failures := make(chan list, 10), make(chan bool, 10)
-	d := newDiscovery(s.Listener.Addr().String(), true, quiet, func(l list) { lists <- l }, func() { failures <- true })
+	d := newDiscovery(s.Listener.Addr().String(), paceOf(true, 0), quiet, func(l list) { lists <- l }, func() { failures <- true })
 	d.index = 41
 	for _, c := range []struct {
 		fetch bool
@@ -234,3 +234,70 @@
 	n.Reload(cfg) // the same again changes nothing
 	until("[b]")
 }
+
+// TestPaceKeepsTheGrace: a call that began to hang as an outage ended, and the
+// longest wait behind it, leave a part of the drain grace for the next call.
+func TestPaceKeepsTheGrace(t *testing.T) {
+	for _, grace := range []time.Duration{0, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 4 * time.Second, time.Minute} {
+		p := paceOf(false, grace)
+		want := min(max(grace, leastGrace), 6*time.Second)
+		if worst := p.hold + p.late + p.backoff*3/2; worst > want*3/4 || p.hold < 50*time.Millisecond {
+			t.Errorf("grace %v: %+v learns of a drain after up to %v", grace, p, worst)
+		}
+	}
+	if p := paceOf(true, time.Second); p.hold < 10*time.Second {
+		t.Errorf("lists that are asked for cost their service a call each %v", p.hold)
+	}
+}
+
+// TestHungCallAfterAnOutage: a watch hangs from an outage on and is never
+// answered. What the agent has at its return counts as told at once.
+func TestHungCallAfterAnOutage(t *testing.T) {
+	const grace = 4 * time.Second
+	hung := make(chan bool, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Query().Get("from") {
+		case "":
+			fmt.Fprintf(w, `{"index":7,"snapshot":true,"endpoints":[%s]}`, entryJSON("s", "127.0.0.1:1", "ready"))
+			return
+		case "7":
+			select {
+			case hung <- true: // the first watch
+				w.WriteHeader(http.StatusOK)
+				http.NewResponseController(w).Flush() // heads without an end
+				<-r.Context().Done()
+				return
+			default: // the agent is back
+				fmt.Fprintf(w, `{"index":8,"snapshot":false,"endpoints":[%s]}`, entryJSON("s", "127.0.0.1:1", "draining"))
+				return
+			}
+		}
+		<-r.Context().Done()
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(s.CloseClientConnections)
+	defer cancel()
+	lists := make(chan list, 10)
+	d := newDiscovery(s.Listener.Addr().String(), paceOf(false, grace), quiet, func(l list) { lists <- l }, func() {})
+	go d.follow(ctx)
+	if l := wait(t, lists, "the whole list"); l.Index != 7 {
+		t.Fatalf("%+v", l)
+	}
+	began := time.Now() // the call that hangs has begun by now, or does at once
+	if l := wait(t, lists, "the drain"); l.Index != 8 {
+		t.Fatalf("%+v", l)
+	}
+	if took := time.Since(began); took > grace {
+		t.Errorf("the drain is known after %v, want within the grace of %v", took, grace)
+	}
+}
+
+// TestNewProcessTakesTheWholeList: the version of the list that a node is
+// started with may be of another discovery, where it means nothing.
+func TestNewProcessTakesTheWholeList(t *testing.T) {
+	cfg := testConfig("127.0.0.1:1")
+	cfg.known.Index = 9
+	if n := New(cfg, quiet); n.discovery.index != 0 {
+		t.Errorf("the first call is from version %d", n.discovery.index)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,7 +74,6 @@
 	n.backends = newPool(cfg.Settings, cfg.Sockets-spareSockets-clients)
 	n.front = newFrontend(n, clients)
 	n.discovery = n.discoveryAt(cfg.Discovery)
-	n.discovery.index = cfg.known.Index
 	return n
 }
 
@@ -88,7 +87,7 @@
 			}
 		})
 	}
-	d = newDiscovery(address, n.cfg.Settings.AskForList, n.log,
+	d = newDiscovery(address, paceOf(n.cfg.Settings.AskForList, n.cfg.Settings.DrainGrace), n.log,
 		func(l list) { news(func() { n.follow(l, kindOf(l)) }) },
 		func() { news(func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) }) })
 	return d
