Ask again in the instant before a request's first byte whether it may go out

Seen in review, confirmed by tests that force it: an attempt decided upon while its server was ready and its client there was sent up to the connect time-out later, though meanwhile the server had been announced as draining, restarted or removed, or the client had left. Where the settings do not allow to cancel, a dial was not called off at all: the module ends an attempt by CancelAttempt alone (close in decide.go), and attempt in backend.go asked nobody between dialling and writing.

Design: one last gate in pool.attempt, where the connection is in hand and nothing is written. It asks the pool, which now knows from the list which servers are leaving, and the request's own context, which ends with its answer or as its client goes. That context also ends dialling: calling off what has not begun is no cancel of a server's work. What the gate stops is Moot, so the module may place it elsewhere. Connections to leaving servers are not kept.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -53,6 +53,7 @@
 	address string
 	since   int64
 	closed  bool
+	leaving bool    // the list says that it wants nothing new
 	idle    []*conn // the one used last comes last
 }
 
@@ -85,17 +86,18 @@
 
 // set takes a server's address from the list. Connections to an earlier
 // process of it are worthless and are closed.
-func (p *pool) set(id decide.ServerID, address string, since int64) {
+func (p *pool) set(id decide.ServerID, address string, since int64, leaving bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if b := p.backends[id]; b != nil {
 		if b.address == address && b.since == since {
+			b.leaving = leaving
 			return
 		}
 		b.closed = true
 		p.drop(b)
 	}
-	p.backends[id] = &backend{address: address, since: since}
+	p.backends[id] = &backend{address: address, since: since, leaving: leaving}
 }
 
 func (p *pool) remove(id decide.ServerID) {
@@ -227,7 +229,7 @@
 	c.SetDeadline(time.Time{})
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if c.of.closed {
+	if c.of.closed || c.of.leaving {
 		c.Conn.Close()
 		c.pool.open--
 		return
@@ -290,10 +292,20 @@
 	body   []byte
 }
 
+// wanted tells whether a connection's server still wants requests. It may have
+// been announced as leaving, or replaced, while the connection came up.
+func (c *conn) wanted() bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return !c.of.closed && !c.of.leaving
+}
+
 // attempt sends a request once and waits for its answer until ctx ends. When
 // it returns, its connection is closed or back in the pool, so that a further
-// attempt cannot overlap it.
-func (p *pool) attempt(ctx context.Context, id decide.ServerID, o *outbound) result {
+// attempt cannot overlap it. Once open has ended nothing is sent any more:
+// calling off what has not begun is no cancel of a server's work, so it needs
+// no leave of the settings.
+func (p *pool) attempt(ctx, open context.Context, id decide.ServerID, o *outbound) result {
 	end, ok := ctx.Deadline()
 	if !ok {
 		return result{code: decide.Moot} // an attempt without an end could hang for ever
@@ -302,9 +314,17 @@
 	if err != nil {
 		return result{code: decide.Moot}
 	}
-	c, err := p.get(ctx, id)
+	dialling, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(open, cancel)()
+	c, err := p.get(dialling, id)
 	if err != nil {
-		return result{code: unsent(ctx, err)}
+		return result{code: unsent(dialling, err)}
+	}
+	// The last gate: dialling may have taken a while.
+	if open.Err() != nil || ctx.Err() != nil || !c.wanted() {
+		c.release()
+		return result{code: decide.Moot}
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -68,7 +68,7 @@
 
 func testPool(address string) *pool {
 	p := newPool(decide.Settings{ConnectTimeout: enough, ConnIdle: time.Hour}, 100)
-	p.set(1, address, 0)
+	p.set(1, address, 0, false)
 	p.rest = 0 // tests need not wait
 	return p
 }
@@ -81,7 +81,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	return p.attempt(ctx, 1, get("/api/x"))
+	return p.attempt(ctx, ctx, 1, get("/api/x"))
 }
 
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: inflight=7,queue=2\r\n\r\nhi"
@@ -302,7 +302,7 @@
 		} else {
 			go func() { <-got; cancel() }()
 		}
-		res := p.attempt(ctx, 1, get("/api/x"))
+		res := p.attempt(ctx, ctx, 1, get("/api/x"))
 		cancel()
 		if res.code != want {
 			t.Errorf("%s: outcome %d, want %d", name, res.code, want)
@@ -329,11 +329,11 @@
 	a, b := serve("a"), serve("b")
 	p := testPool(a)
 	try(t, p, enough)
-	p.set(1, a, 0)
+	p.set(1, a, 0, false)
 	if len(p.backends[1].idle) != 1 {
 		t.Error("the same entry again costs the connection")
 	}
-	p.set(1, a, 5)
+	p.set(1, a, 5, false)
 	if p.open != 0 {
 		t.Errorf("%d connections open after a restart, want 0", p.open)
 	}
@@ -343,7 +343,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.set(1, b, 5)
+	p.set(1, b, 5, false)
 	c.release()
 	if p.open != 0 {
 		t.Errorf("%d connections open after a new address, want 0", p.open)
@@ -361,7 +361,7 @@
 	})
 	p := testPool(address)
 	p.most = 2
-	p.set(2, address, 0)
+	p.set(2, address, 0, false)
 	ctx, cancel := context.WithTimeout(context.Background(), enough)
 	defer cancel()
 	var cs []*conn
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,8 @@
 	deadline time.Time
 	answer   chan answer // takes the one final answer
 	done     bool
+	open     context.Context // ends with the answer, or as the client goes
+	end      context.CancelFunc
 	attempts []context.CancelFunc
 	running  int
 	guard    *time.Timer
@@ -229,6 +231,7 @@
 	}
 	e.Patience = time.Until(r.deadline)
 	n.requests[r.id] = r
+	r.open, r.end = context.WithCancel(n.ctx)
 	// The module ends a request at its deadline. The guard is for one that it
 	// does not end, as an answer in time is owed whatever it does.
 	r.guard = time.AfterFunc(e.Patience+guardDelay, func() {
@@ -277,6 +280,7 @@
 func (n *Node) close(r *request) {
 	r.done = true
 	r.guard.Stop()
+	r.end()
 	n.forget(r)
 }
 
@@ -308,7 +312,7 @@
 	began := time.Now()
 	go func() {
 		defer cancel()
-		res := n.backends.attempt(ctx, a.Server, r.out)
+		res := n.backends.attempt(ctx, r.open, a.Server, r.out)
 		took := time.Since(began)
 		n.post(func() { n.attemptEnded(r, number, a.Server, took, res) })
 	}()
@@ -353,7 +357,7 @@
 			Size: e.Weight, StartedAt: time.Duration(e.SinceMS) * time.Millisecond})
 		if missing[e.Name] = state == decide.Gone; state != decide.Gone {
 			n.listed[e.Name] = id
-			n.backends.set(id, e.Address, e.SinceMS)
+			n.backends.set(id, e.Address, e.SinceMS, state != decide.Ready)
 		}
 	}
 	n.handle(u)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -42,6 +42,12 @@
 }
 
 func startNode(t *testing.T, servers ...string) *running {
+	t.Helper()
+	return startNodeWith(t, func(*decide.Settings) {}, servers...)
+}
+
+// startNodeWith starts a node whose settings are changed first.
+func startNodeWith(t *testing.T, change func(*decide.Settings), servers ...string) *running {
 	t.Helper()
 	var entries []string
 	for i, s := range servers {
@@ -63,7 +69,9 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	n := &running{Node: New(testConfig(disc.Listener.Addr().String()), quiet), address: ln.Addr().String(), stop: stop,
+	cfg := testConfig(disc.Listener.Addr().String())
+	change(&cfg.Settings)
+	n := &running{Node: New(cfg, quiet), address: ln.Addr().String(), stop: stop,
 		ended: make(chan error, 1)}
 	lingered := make(chan struct{})
 	n.linger = sync.OnceFunc(func() { close(lingered) })
