See a client leave behind what it sent, and close no connection under a request

(1) net/http waits for one byte behind an open request and then no longer looks: a client that sends more than its request and goes was not seen to go, its request was waited for and tried again until its deadline, and what it had sent behind it was read from the buffer and sent on later. (2) Shutdown and the eviction at the limit of connections (serve in frontend.go, evict in listener.go) closed connections that count as idle, though a request was half read from them or waited unread: StateIdle lasts until a head has been read whole. Ruled out by reading net/http of this Go version: a read deadline that ends the background read, and a write deadline that outlives its answer; both are cleared for each request.

Design: limitedConn, which already wraps each connection, reads ahead once that byte has come, and ends the contexts of the connection's requests as the client goes, or as over 16 KiB came behind an open request. A request whose client has left before it is looked at is not opened. Connections are given up by waking their reader (retire), which then cannot have read a request; one on which a request has come meanwhile stays. This replaces Shutdown.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -238,7 +238,8 @@
 	c.of.idle = append(c.of.idle, c)
 }
 
-// silent tells whether an idle connection is open with nothing to read.
+// silent tells whether a connection is open with nothing to read, also while
+// somebody waits to read it.
 func silent(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
@@ -249,11 +250,10 @@
 		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && quiet
 }
--- /dev/null
+++ b/internal/node/clientconn.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// aheadMost bounds what is read ahead of a connection: clients send one request
+// at a time, so what comes behind an open one is a fault of theirs.
+const aheadMost = 16 << 10
+
+// longAgo as a deadline ends a read that is under way.
+var longAgo = time.Unix(1, 0)
+
+// limitedConn is a client's connection. net/http reads it; what is added here
+// lets the node see that a client has left which had sent more than its open
+// request, and close a connection without cutting a request that has begun.
+type limitedConn struct {
+	net.Conn
+	of     *limited
+	closed bool // guarded by of.mu
+
+	mu       sync.Mutex
+	changed  sync.Cond          // pumping ends
+	deadline time.Time          // as set for reads
+	heard    bool               // bytes have come since it last came to rest
+	early    bool               // a byte of the next request has come while one was open
+	retired  bool               // nothing is to be read from it any more
+	pumping  bool               // pump reads the connection
+	ahead    []byte             // what it has read
+	err      error              // how it has ended, if not by being stopped
+	leave    context.CancelFunc // ends the contexts of its requests
+}
+
+func newLimitedConn(c net.Conn, of *limited) *limitedConn {
+	lc := &limitedConn{Conn: c, of: of, leave: func() {}}
+	lc.changed.L = &lc.mu
+	return lc
+}
+
+// Read reads what was read ahead first. While a request is open, net/http
+// waits for a single byte or the connection's end. After that byte it no
+// longer looks, so the rest is read ahead from here.
+func (c *limitedConn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.pumping && len(c.ahead) == 0 {
+		c.Conn.SetReadDeadline(longAgo)
+		for c.pumping {
+			c.changed.Wait()
+		}
+		c.setDeadline()
+	}
+	if n := copy(b, c.ahead); n > 0 || c.err != nil {
+		defer c.mu.Unlock()
+		if c.ahead = c.ahead[n:]; n == 0 {
+			return 0, c.err
+		}
+		c.note(len(b))
+		return n, nil
+	}
+	c.mu.Unlock()
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == 0 {
+		return n, err
+	}
+	if c.heard = true; c.retired { // it came as the connection was given up, and is owed an answer
+		c.retired = false
+		c.setDeadline()
+	}
+	c.note(len(b))
+	return n, err
+}
+
+// note sees to it that what comes behind a single byte is read ahead. The
+// caller holds c.mu.
+func (c *limitedConn) note(wanted int) {
+	if wanted > 1 {
+		return
+	}
+	if c.early = true; !c.pumping && c.err == nil {
+		c.pumping = true
+		c.Conn.SetReadDeadline(time.Time{})
+		go c.pump()
+	}
+}
+
+// pump reads ahead until the client leaves, sends more than is bearable, or
+// Read wants the connection back.
+func (c *limitedConn) pump() {
+	var chunk [2048]byte
+	for {
+		n, err := c.Conn.Read(chunk[:])
+		c.mu.Lock()
+		c.ahead = append(c.ahead, chunk[:n]...)
+		if err == nil && len(c.ahead) > aheadMost {
+			err = errors.New("too much was sent behind a request")
+		}
+		if err != nil {
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				c.err = err
+				c.leave()
+			}
+			c.pumping = false
+			c.changed.Broadcast()
+			c.mu.Unlock()
+			return
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.setDeadline()
+}
+
+// setDeadline passes the deadline on to where it counts just now. The caller
+// holds c.mu.
+func (c *limitedConn) setDeadline() error {
+	switch {
+	case c.pumping:
+		return nil // Read sets it as it takes over
+	case c.retired:
+		return c.Conn.SetReadDeadline(longAgo)
+	}
+	return c.Conn.SetReadDeadline(c.deadline)
+}
+
+// use notes that the connection carries a request, all bytes read so far being its own.
+func (c *limitedConn) use() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.early = false
+}
+
+// rest notes that the connection carries no request.
+func (c *limitedConn) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard = c.early || len(c.ahead) > 0
+}
+
+// retire has the connection closed if nothing of a request has come on it: by
+// its reader, who then cannot have read one. A request that comes later is one
+// that the node has not read, and its client sends it again.
+func (c *limitedConn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.heard || c.pumping || !silent(c.Conn) {
+		return c.retired
+	}
+	c.retired = true
+	c.setDeadline()
+	return true
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -27,6 +27,7 @@
 	comeTime    = 450 * time.Millisecond  // after SIGTERM new connections still come for 0.2 to 0.4 s
 	finishTime  = time.Second             // the last requests get so long, where there is time
 	lingerStep  = 50 * time.Millisecond   // between looks at whether all clients have gone
+	retireStep  = 10 * time.Millisecond   // the same when they are no longer waited for
 	headTime    = 2 * time.Second         // for a request's head
 	readTime    = 2500 * time.Millisecond // for a whole request
 	writeTime   = 5 * time.Second         // for an answer
@@ -41,6 +42,7 @@
 	node    *Node
 	most    int                      // connections
 	effects map[string]decide.Effect // of the classes
+	conns   *limited
 	stages  stages
 	linger  func(open func() int) // goes on serving for a while after the order to stop
 	ready   atomic.Bool
@@ -91,10 +93,11 @@
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.node.log.Handler(), slog.LevelDebug)}
-	limited := limitListener(ln, f.most)
-	srv.ConnState = limited.note
+	f.conns = limitListener(ln, f.most)
+	srv.ConnState = f.conns.note
+	srv.ConnContext = f.conns.context
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(limited) }()
+	go func() { failed <- srv.Serve(f.conns) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving clients: %w", err)
@@ -103,17 +106,16 @@
 	began := time.Now()
 	f.ordered.Store(true)
 	f.node.post(func() { f.node.answerBy(began.Add(f.stages.answered)) })
-	f.linger(func() int { return limited.open() })
+	f.linger(f.conns.open)
 	f.leaving.Store(true)
-	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(f.stages.closed))
-	defer cancel()
-	err := srv.Shutdown(end)
-	if errors.Is(err, context.DeadlineExceeded) {
-		// All requests have been answered: what is left are connections on
-		// which none has come.
-		return srv.Close()
+	ln.Close()
+	for f.conns.open() > 0 && time.Since(began) < f.stages.closed {
+		f.conns.retire()
+		time.Sleep(retireStep)
 	}
-	return err
+	// All requests have been answered: what is left are connections on which
+	// none has come whole.
+	return srv.Close()
 }
 
 // ServeHTTP answers the health checks and passes requests to the loop.
@@ -137,18 +139,24 @@
 		f.turnAway(w, err, status)
 		return
 	}
-	f.node.post(func() { f.node.open(req, event) })
+	left := r.Context().Done()
 	select {
-	case a := <-req.answer:
-		write(w, a)
-	case <-r.Context().Done():
-		f.node.post(func() { f.node.abandon(req) })
-		// A client that only ended its sending can still read. Without a word
-		// from here the server would tell it 200, which no backend said.
-		write(w, answer{status: http.StatusBadGateway})
-	case <-f.node.ended:
-		http.Error(w, "the node has ended", http.StatusBadGateway)
+	case <-left: // while earlier requests of its were served
+	default:
+		f.node.post(func() { f.node.open(req, event) })
+		select {
+		case a := <-req.answer:
+			write(w, a)
+			return
+		case <-left:
+			f.node.post(func() { f.node.abandon(req) })
+		case <-f.node.ended:
+		}
 	}
+	// A client that only ended its sending can still read. Without a word
+	// from here the server would tell it 200, which no backend said.
+	w.Header().Set("Connection", "close")
+	write(w, answer{status: http.StatusBadGateway})
 }
 
 // turnAway answers a request that can't be read and ends its connection. What
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -45,7 +46,7 @@
 			return nil, err
 		}
 		if l.take() {
-			return &limitedConn{Conn: c, of: l}, nil
+			return newLimitedConn(c, l), nil
 		}
 		c.Close()
 	}
@@ -78,18 +79,54 @@
 	defer l.mu.Unlock()
 	switch {
 	case s == http.StateNew || s == http.StateIdle:
-		if !lc.closed {
+		if lc.rest(); !lc.closed {
 			l.unused[lc] = unused{since: time.Now(), spoken: s == http.StateIdle}
 		}
 	default:
+		lc.use()
 		delete(l.unused, lc)
 	}
 }
 
-// evict closes the connection that is least likely to be missed: of those that
-// have been silent for long, else of those between requests, else of those that
-// have not spoken yet, the one that has been so longest.
+// context gives the requests of a connection one that ends as their client is
+// seen to leave, for http.Server's ConnContext.
+func (l *limited) context(ctx context.Context, c net.Conn) context.Context {
+	if lc, ok := c.(*limitedConn); ok {
+		ctx, lc.leave = context.WithCancel(ctx)
+	}
+	return ctx
+}
+
+// retire closes all connections that carry no request. To be repeated: those
+// in use come to rest later.
+func (l *limited) retire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.unused {
+		c.retire()
+	}
+}
+
+// evict closes the connection that is least likely to be missed. One on which
+// a request has just come is no longer unused, though net/http has not said so.
 func (l *limited) evict(now time.Time) bool {
+	for {
+		worst := l.worst(now)
+		if worst == nil {
+			return false
+		}
+		if worst.retire() {
+			worst.end()
+			return true
+		}
+		delete(l.unused, worst)
+	}
+}
+
+// worst finds it: of those that have been silent for long, else of those
+// between requests, else of those that have not spoken yet, the one that has
+// been so longest.
+func (l *limited) worst(now time.Time) *limitedConn {
 	var worst *limitedConn
 	var worstRank int
 	for c, u := range l.unused {
@@ -107,18 +144,7 @@
 			worst, worstRank = c, rank
 		}
 	}
-	if worst == nil {
-		return false
-	}
-	worst.end()
-	worst.Conn.Close()
-	return true
-}
-
-type limitedConn struct {
-	net.Conn
-	of     *limited
-	closed bool // guarded by of.mu
+	return worst
 }
 
 // end gives the slot back, once. The caller holds of.mu.
