Let a connection rest for longer than second answers are late

Seen in review: a connection went back into use 5 ms after an answer (restTime in backend.go). Answers name no request, so nothing else tells them apart.

Design: 25 ms. A node that sends a server 25 requests a second then needs about one connection more to it.

Test: TestSecondAnswerComesLate, seen to fail with 5 ms.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -31,8 +31,9 @@
 
 	// A connection rests so long after an answer. What a server says or does
 	// right behind it, noise, a second copy or a close, shows by then, and can
-	// neither answer the next request nor break it.
-	restTime = 5 * time.Millisecond
+	// neither answer the next request nor break it. Second copies were seen up
+	// to 5 ms late; a node has enough connections to let one rest for longer.
+	restTime = 25 * time.Millisecond
 )
 
 // pool keeps connections to servers. It never sends anything itself.
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -441,3 +441,35 @@
 		}
 	}
 }
+
+// TestSecondAnswerComesLate: a second copy that comes after its connection has
+// gone back to the pool must not be taken for the next request's answer.
+func TestSecondAnswerComesLate(t *testing.T) {
+	asked := make(chan int, 10)
+	p := testPool(backendServer(t, func(number int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			asked <- number
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", number)
+		}
+	}))
+	p.rest = newPool(decide.Settings{}, 1).rest // a node's own
+	const seen = 5 * time.Millisecond           // how late they were seen to come
+	if p.rest < 4*seen {
+		t.Errorf("a connection rests for %v, and second copies come up to %v late", p.rest, seen)
+	}
+	if got := try(t, p, enough); got.code != decide.OK {
+		t.Fatalf("outcome %d", got.code)
+	}
+	p.mu.Lock()
+	first := p.backends[1].idle[0]
+	first.idleAt = time.Now().Add(enough) // it has come back just now, however slow this machine is
+	p.mu.Unlock()
+	if got := try(t, p, enough); string(got.body) != "1" {
+		t.Errorf("connection %s answers the next request, want a new one", got.body)
+	}
+	for want := range 2 {
+		if number := wait(t, asked, "a request"); number != want {
+			t.Errorf("a request comes on connection %d, want %d", number, want)
+		}
+	}
+}
