Let a keyed request start again only inside the window in which repeats are dropped

Seen in review, confirmed by a test that forces it: maySend judges the window at the decision, but a connection may come up to the connect time-out later (0.4 s at one of the sites kept here, whose windows are 0.4 and 2.5 s). A keyed request that may have run could so be sent again past its window and run twice.

Design: Send says for how long its first byte may leave (Within); the node puts that into the context which the last gate before the first byte asks, so dialling ends with it too.

Tests: the random worlds check Within against window and time (seen to fail without it), TestWindowEndsWhileDialling (seen to fail when the node ignores it).

--- a/decide/api.go
+++ b/decide/api.go
@@ -284,6 +284,7 @@
 		ID      RequestID
 		Server  ServerID
 		Timeout time.Duration // 0: until the client stops waiting
+		Within  time.Duration // its first byte may leave for so long; 0: for as long as the attempt lasts
 	}
 	// Refuse is a final answer: a new try does no harm.
 	Refuse struct {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -401,6 +401,7 @@
 	if s == nil || !m.maySend(r, s) {
 		return false
 	}
+	within := m.window(r)
 	r.attempts = append(r.attempts, attempt{server: s, sent: m.now, mayRun: true, ahead: s.n})
 	r.out++
 	s.n++
@@ -408,10 +409,19 @@
 	if s.unanswered++; s.unanswered == 1 {
 		s.muteSince = m.now
 	}
-	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now)})
+	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now), Within: within})
 	return true
 }
 
+// window is the time left for a keyed request that may have run to go out again; 0: no such limit.
+func (m *Module) window(r *request) time.Duration {
+	ran := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.mayRun })
+	if ran < 0 || r.class.Effect != Keyed {
+		return 0
+	}
+	return r.attempts[ran].sent + r.class.DedupWindow - m.set.MinTick - m.now
+}
+
 // finish gives the final answer where no server did, a refusal if it may, with a jittered hold-off.
 func (m *Module) finish(r *request) {
 	wait := min(m.jitter(time.Duration(holdPart*float64(r.class.Aim))), m.set.MaxHoldOff)
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -126,6 +126,8 @@
 			w.fault("unsafe request sent again")
 		} else if !sameGroup(q.class.KeyScope, s, w.servers[p.server]) || w.now > p.at+q.class.DedupWindow {
 			w.fault("keyed request sent outside its group or window")
+		} else if a.Within <= 0 || w.now+a.Within > p.at+q.class.DedupWindow {
+			w.fault("keyed request sent with %v to start in, which may be outside its window", a.Within)
 		}
 	}
 	w.sends[a.Server] = append(w.sends[a.Server], w.now)
--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -14,9 +14,9 @@
 )
 
 // slowDials makes a pool's connections wait: begun gets a value when one
-// begins to come up, and it does not until go is closed.
+// begins to come up, and it does not until release has a value or is closed.
 func slowDials(p *pool) (begun chan bool, release chan struct{}) {
-	begun, release = make(chan bool, 10), make(chan struct{})
+	begun, release = make(chan bool, 10), make(chan struct{}, 1)
 	p.dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
 		begun <- true
 		select {
@@ -136,3 +136,31 @@
 		t.Errorf("request %q was sent", id)
 	}
 }
+
+// TestWindowEndsWhileDialling: a keyed request may go out again for as long as
+// its servers drop repeats, and no longer, however late its connection comes up.
+func TestWindowEndsWhileDialling(t *testing.T) {
+	silent, got, _ := silentServer(t)
+	n := startNodeWith(t, func(s *decide.Settings) { s.MayOverlap, s.ConnectTimeout = true, 3*enough }, silent)
+	begun, release := slowDials(n.backends)
+	release <- struct{}{} // for the first one
+	c := n.dial(t)
+	c.ask(t, "saldo", "q", "60")
+	wait(t, begun, "the first connection")
+	wait(t, got, "the first attempt")
+	n.post(func() { n.send(decide.Send{ID: "q", Server: n.ids.of("s-0"), Within: time.Millisecond}) })
+	wait(t, begun, "the connection to begin")
+	for until := time.Now().Add(enough); ; time.Sleep(time.Millisecond) {
+		running := make(chan int, 1)
+		n.post(func() { running <- n.requests["q"].running })
+		if k := wait(t, running, "the loop"); k == 1 {
+			break
+		} else if time.Now().After(until) {
+			t.Fatal("the attempt waits on for its connection")
+		}
+	}
+	close(release)
+	if len(got) > 0 {
+		t.Error("the request was sent again after its window")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -309,10 +309,14 @@
 		return
 	}
 	r.running++
-	began := time.Now()
+	began, open, endOpen := time.Now(), r.open, cancel
+	if a.Within > 0 {
+		open, endOpen = context.WithTimeout(r.open, a.Within)
+	}
 	go func() {
 		defer cancel()
-		res := n.backends.attempt(ctx, r.open, a.Server, r.out)
+		defer endOpen()
+		res := n.backends.attempt(ctx, open, a.Server, r.out)
 		took := time.Since(began)
 		n.post(func() { n.attemptEnded(r, number, a.Server, took, res) })
 	}()
