Spare connections that have just come when the node ends

A new connection's first request comes right behind it, and a client whose first one is closed without a word does not send again; at the stage in which clients are asked to close, retire in listener.go closed such a connection in the instant between.

Design: retire leaves connections that have not spoken for as long as eviction calls them new (speakTime); the loop of the last stage comes back to them.

Test: TestRetireSparesNewConnections, in which "just come" was seen to be retired without the change.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -110,7 +110,7 @@
 	f.leaving.Store(true)
 	ln.Close()
 	for f.conns.open() > 0 && time.Since(began) < f.stages.closed {
-		f.conns.retire()
+		f.conns.retire(time.Now())
 		time.Sleep(retireStep)
 	}
 	// All requests have been answered: what is left are connections on which
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -97,13 +97,16 @@
 	return ctx
 }
 
-// retire closes all connections that carry no request. To be repeated: those
-// in use come to rest later.
-func (l *limited) retire() {
+// retire closes all connections that carry no request, but not those that have
+// just come: their first request is on its way, and its client would not send
+// it again. To be repeated, as these and those in use come to rest later.
+func (l *limited) retire(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for c := range l.unused {
-		c.retire()
+	for c, u := range l.unused {
+		if u.spoken || now.Sub(u.since) >= speakTime {
+			c.retire()
+		}
 	}
 }
 
--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -81,3 +81,28 @@
 		t.Error("a request reached a server")
 	}
 }
+
+// TestRetireSparesNewConnections: the first request of one that has just come
+// is on its way. Those that have been silent for long, or are between
+// requests, are closed.
+func TestRetireSparesNewConnections(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name    string
+		unused  unused
+		retired bool
+	}{
+		{"just come", unused{since: now.Add(-speakTime / 2)}, false},
+		{"silent", unused{since: now.Add(-speakTime)}, true},
+		{"between requests", unused{since: now, spoken: true}, true},
+	} {
+		lc, _ := connPair(t)
+		lc.of.unused[lc] = c.unused
+		lc.of.retire(now)
+		lc.mu.Lock()
+		if lc.retired != c.retired {
+			t.Errorf("%s: retired %v, want %v", c.name, lc.retired, c.retired)
+		}
+		lc.mu.Unlock()
+	}
+}
