Read a configuration again that cannot be used as SIGHUP comes

Seen in review: on SIGHUP the file was read once (run in main.go). One that is being replaced just then is half a file or none, the node kept the old address of discovery, and there was no second SIGHUP: it learned nothing any more.

Design: ten reads within half a second; what discovery has to tell counts from 4 s after SIGHUP on. A file that stays bad is logged and the configuration before is kept, as before.

Test: TestRereadWaitsForTheWholeFile, seen to fail with one read.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"indigotack/internal/node"
 )
@@ -23,6 +24,23 @@
 	}
 }
 
+// A file that is being replaced just as it is read is whole soon after. What
+// the new discovery has to tell counts from 4 s after SIGHUP on.
+const (
+	rereadTries = 10
+	rereadWait  = 50 * time.Millisecond
+)
+
+// reread reads the configuration again, after a wait where it cannot be used.
+func reread(path string, wait func()) (node.Config, error) {
+	cfg, err := node.LoadConfig(path)
+	for tries := 1; err != nil && tries < rereadTries; tries++ {
+		wait()
+		cfg, err = node.LoadConfig(path)
+	}
+	return cfg, err
+}
+
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -44,7 +62,7 @@
 	n := node.New(cfg, log)
 	go func() {
 		for range reload {
-			if cfg, err := node.LoadConfig(path); err != nil {
+			if cfg, err := reread(path, func() { time.Sleep(rereadWait) }); err != nil {
 				log.Error("not reloaded, the configuration before stays in force", "err", err)
 			} else {
 				n.Reload(cfg)
--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -132,3 +132,33 @@
 		t.Errorf("after SIGTERM it ends with %v, want status 0", err)
 	}
 }
+
+// TestRereadWaitsForTheWholeFile: SIGHUP may come while the file is being
+// replaced; a file that stays bad is given up.
+func TestRereadWaitsForTheWholeFile(t *testing.T) {
+	const config = `{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1f","settings":{}}`
+	path := filepath.Join(t.TempDir(), "config.json")
+	put := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(config[:30])
+	waits := 0
+	cfg, err := reread(path, func() {
+		if waits++; waits == 1 {
+			os.Remove(path)
+		} else if waits == 2 {
+			put(config)
+		}
+	})
+	if err != nil || cfg.Discovery != "127.0.0.1:2" || waits != 2 {
+		t.Errorf("%+v, %v after %d waits", cfg, err, waits)
+	}
+	put("{")
+	waits = 0
+	if _, err := reread(path, func() { waits++ }); err == nil || waits == 0 || waits > 20 {
+		t.Errorf("a bad file: %v after %d waits", err, waits)
+	}
+}
