Take no client for gone that sends a long request right behind its answer

Buffers that are used up are let go.

Test: TestNextRequestMayBeLong, seen to fail without the distinction.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -30,6 +30,7 @@
 	heard    bool               // bytes have come since it last came to rest
 	early    bool               // a byte of the next request has come while one was open
 	retired  bool               // nothing is to be read from it any more
+	open     bool               // a request has been read whole and has no answer yet
 	pumping  bool               // pump reads the connection
 	ahead    []byte             // what it has read
 	err      error              // how it has ended, if not by being stopped
@@ -56,9 +57,12 @@
 	}
 	if n := copy(b, c.ahead); n > 0 || c.err != nil {
 		defer c.mu.Unlock()
-		if c.ahead = c.ahead[n:]; n == 0 {
+		if n == 0 {
 			return 0, c.err
 		}
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil // hundreds of connections would keep their buffers
+		}
 		c.note(len(b))
 		return n, nil
 	}
@@ -83,29 +87,51 @@
 	if wanted > 1 {
 		return
 	}
-	if c.early = true; !c.pumping && c.err == nil {
+	if c.early = true; !c.pumping && c.err == nil && len(c.ahead) <= aheadMost {
 		c.pumping = true
 		c.Conn.SetReadDeadline(time.Time{})
 		go c.pump()
 	}
 }
 
-// pump reads ahead until the client leaves, sends more than is bearable, or
-// Read wants the connection back.
+// judge takes a client for gone that has sent too much behind a request that
+// is not answered. One that has its answer may have sent its next request
+// already, and that can be as long as it likes. The caller holds c.mu.
+func (c *limitedConn) judge() {
+	if c.open && len(c.ahead) > aheadMost {
+		c.quit(errors.New("too much was sent behind a request"))
+	}
+}
+
+// quit ends the connection's requests. The caller holds c.mu.
+func (c *limitedConn) quit(err error) {
+	if c.err == nil {
+		c.err = err
+		c.leave()
+	}
+}
+
+// setOpen tells whether a request waits for its answer.
+func (c *limitedConn) setOpen(open bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open = open
+	c.judge()
+}
+
+// pump reads ahead until the client leaves, has sent as much as is read ahead,
+// or Read wants the connection back.
 func (c *limitedConn) pump() {
 	var chunk [2048]byte
 	for {
 		n, err := c.Conn.Read(chunk[:])
 		c.mu.Lock()
 		c.ahead = append(c.ahead, chunk[:n]...)
-		if err == nil && len(c.ahead) > aheadMost {
-			err = errors.New("too much was sent behind a request")
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.quit(err)
 		}
-		if err != nil {
-			if !errors.Is(err, os.ErrDeadlineExceeded) {
-				c.err = err
-				c.leave()
-			}
+		c.judge()
+		if err != nil || c.err != nil || len(c.ahead) > aheadMost {
 			c.pumping = false
 			c.changed.Broadcast()
 			c.mu.Unlock()
--- a/internal/node/clientconn_test.go
+++ b/internal/node/clientconn_test.go
@@ -259,3 +259,38 @@
 		t.Errorf("the node ends with %v", err)
 	}
 }
+
+// TestNextRequestMayBeLong: a client that has its answer may send a long
+// request before net/http has ended its watch on the connection. That is no
+// breach, and the client has not left.
+func TestNextRequestMayBeLong(t *testing.T) {
+	for _, open := range []bool{false, true} {
+		c, client := connPair(t)
+		gone := make(chan bool, 1)
+		c.leave = func() { gone <- true }
+		c.setOpen(open)
+		long := bytes.Repeat([]byte("x"), maxHead+maxBody)
+		go client.Write(long)
+		if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
+			t.Fatalf("reads %d bytes, %v", n, err)
+		}
+		if open {
+			wait(t, gone, "the end of a client that does not wait for its answer")
+			continue
+		}
+		paused := func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return !c.pumping && len(c.ahead) > aheadMost
+		}
+		for until := time.Now().Add(enough); !paused() && time.Now().Before(until); {
+			time.Sleep(time.Millisecond) // until as much has been read ahead as may be
+		}
+		if _, err := io.ReadFull(c, make([]byte, len(long)-1)); err != nil {
+			t.Errorf("of the rest: %v", err)
+		}
+		if len(gone) > 0 {
+			t.Error("the client is taken for gone")
+		}
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -139,19 +139,9 @@
 		f.turnAway(w, err, status)
 		return
 	}
-	left := r.Context().Done()
-	select {
-	case <-left: // while earlier requests of its were served
-	default:
-		f.node.post(func() { f.node.open(req, event) })
-		select {
-		case a := <-req.answer:
-			write(w, a)
-			return
-		case <-left:
-			f.node.post(func() { f.node.abandon(req) })
-		case <-f.node.ended:
-		}
+	if a, ok := f.answer(r.Context(), req, event); ok {
+		write(w, a)
+		return
 	}
 	// A client that only ended its sending can still read. Without a word
 	// from here the server would tell it 200, which no backend said.
@@ -159,6 +149,26 @@
 	write(w, answer{status: http.StatusBadGateway})
 }
 
+// answer has a request handled. It gives no answer if the client has left.
+func (f *frontend) answer(ctx context.Context, req *request, event decide.RequestArrived) (answer, bool) {
+	if c, ok := ctx.Value(connKey{}).(*limitedConn); ok {
+		c.setOpen(true)
+		defer c.setOpen(false) // before the client can have its answer
+	}
+	if ctx.Err() != nil { // it left while earlier requests of its were served
+		return answer{}, false
+	}
+	f.node.post(func() { f.node.open(req, event) })
+	select {
+	case a := <-req.answer:
+		return a, true
+	case <-ctx.Done():
+		f.node.post(func() { f.node.abandon(req) })
+	case <-f.node.ended:
+	}
+	return answer{}, false
+}
+
 // turnAway answers a request that can't be read and ends its connection. What
 // follows on it may belong to the body of this request as the client sees it,
 // so none of it is taken for a request; and the answer waits for no body.
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -88,11 +88,14 @@
 	}
 }
 
+// connKey is where a request's context has its connection.
+type connKey struct{}
+
 // context gives the requests of a connection one that ends as their client is
 // seen to leave, for http.Server's ConnContext.
 func (l *limited) context(ctx context.Context, c net.Conn) context.Context {
 	if lc, ok := c.(*limitedConn); ok {
-		ctx, lc.leave = context.WithCancel(ctx)
+		ctx, lc.leave = context.WithCancel(context.WithValue(ctx, connKey{}, lc))
 	}
 	return ctx
 }
