Test that limits on reading a request and writing an answer end with them

Two guesses from reading: that the limit on reading a request (2.5 s) ends the watch on its client and takes it for gone, and that the limit on writing an answer (5 s) stays on the connection. Both are ruled out: net/http clears both for each request, and the new test waits past them. Nothing is changed.

--- a/internal/node/frontend_test.go
+++ b/internal/node/frontend_test.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestNoRequestHidesInAnother: a body whose end two readers see in two places
@@ -46,3 +49,37 @@
 	default:
 	}
 }
+
+// TestOldTimeLimitsDoNotReachLater: the limit on reading a request must not end
+// the wait for its answer, as if its client had left, and the limit on writing
+// an answer must not outlive that answer on its connection.
+func TestOldTimeLimitsDoNotReachLater(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			<-release
+			io.WriteString(c, okAnswer)
+		}
+	}))
+	safe, unsafe := n.dial(t), n.dial(t)
+	safe.ask(t, "saldo", "q", "60")
+	fmt.Fprint(unsafe, "POST /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: u\r\nX-Class: pagar\r\nX-Deadline: 60\r\nContent-Length: 1\r\n\r\nx")
+	time.Sleep(readTime + 200*time.Millisecond)
+	close(release)
+	for name, c := range map[string]raw{"safe": safe, "unsafe": unsafe} {
+		if s := c.status(t); s != 200 {
+			t.Errorf("the %s request is answered %d after a long wait", name, s)
+		}
+	}
+	for end := time.Now().Add(writeTime + 200*time.Millisecond); time.Now().Before(end); time.Sleep(idleTime / 4) {
+		io.WriteString(safe, "GET /health/live HTTP/1.1\r\nHost: app.svc\r\n\r\n")
+		if s := safe.status(t); s != 200 {
+			t.Errorf("a health check is answered %d", s)
+		}
+	}
+	safe.ask(t, "saldo", "r", "60")
+	if s := safe.status(t); s != 200 {
+		t.Errorf("a later request is answered %d", s)
+	}
+}
