Wait for the listener to be let go before the node ends

Seen: in 20 runs of the node's tests under load, TestStopKeepsServing failed once: "the node ends with close tcp 127.0.0.1:33895: use of closed network connection".

Cause: serve in frontend.go closes the listener and, once no connection is open, the server. If Serve has not yet let go of the listener, Close closes it a second time and returns that as an error, so the program ended with status 1 after SIGTERM, though all had been answered.

Design: serve waits for Serve to return in between.

Test: TestEndWaitsForTheListener, with a listener that tells late of its end, seen to fail without the wait.

--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -47,3 +49,50 @@
 		t.Errorf("the node ends with %v", err)
 	}
 }
+
+// lateListener tells of its end only when it is let go.
+type lateListener struct {
+	net.Listener
+	closed, release chan struct{}
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		close(l.closed)
+		<-l.release
+	}
+	return c, err
+}
+
+// TestEndWaitsForTheListener: the node's end is no failure, though the server
+// still has its listener when there is nothing left to wait for.
+func TestEndWaitsForTheListener(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := lateListener{inner, make(chan struct{}), make(chan struct{})}
+	n := New(testConfig(refusing(t)), quiet)
+	n.front.linger = func(func() int) {}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx, ln) }()
+	if resp, err := http.Get("http://" + inner.Addr().String() + "/health/live"); err != nil { // it serves
+		t.Fatal(err)
+	} else {
+		resp.Body.Close()
+	}
+	http.DefaultClient.CloseIdleConnections()
+	stop()
+	wait(t, ln.closed, "the listener's end")
+	select {
+	case err := <-ended:
+		t.Errorf("the node ends with %v", err)
+	case <-time.After(100 * time.Millisecond): // a node that does not wait has ended long ago
+	}
+	close(ln.release)
+	if err := wait(t, ended, "the node's end"); err != nil {
+		t.Errorf("the node ends with %v", err)
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -109,6 +109,7 @@
 	f.linger(f.conns.open)
 	f.leaving.Store(true)
 	ln.Close()
+	<-failed // until Serve has let go of the listener, Close would close it again and fail
 	for f.conns.open() > 0 && time.Since(began) < f.stages.closed {
 		f.conns.retire(time.Now())
 		time.Sleep(retireStep)
