--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -88,22 +88,28 @@
 	}
 }
 
+// connKey is where a request's context has its connection.
+type connKey struct{}
+
 // context gives the requests of a connection one that ends as their client is
 // seen to leave, for http.Server's ConnContext.
 func (l *limited) context(ctx context.Context, c net.Conn) context.Context {
 	if lc, ok := c.(*limitedConn); ok {
-		ctx, lc.leave = context.WithCancel(ctx)
+		ctx, lc.leave = context.WithCancel(context.WithValue(ctx, connKey{}, lc))
 	}
 	return ctx
 }
 
-// retire closes all connections that carry no request. To be repeated: those
-// in use come to rest later.
-func (l *limited) retire() {
+// retire closes all connections that carry no request, but not those that have
+// just come: their first request is on its way, and its client would not send
+// it again. To be repeated, as these and those in use come to rest later.
+func (l *limited) retire(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for c := range l.unused {
-		c.retire()
+	for c, u := range l.unused {
+		if u.spoken || now.Sub(u.since) >= speakTime {
+			c.retire()
+		}
 	}
 }
 
