--- a/test.sh
+++ b/test.sh
@@ -12,4 +12,12 @@
 	exit 1
 fi
 go vet ./...
-go test -race -count=1 ./...
+# KNOWN-RED.txt lists tests that fail for a real fault which is not mended yet: "TestName: cause, issue", one a line.
+# These alone are passed over.
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+	printf 'known to fail, passed over:\n'
+	cat KNOWN-RED.txt
+	skip=(-skip "^($(cut -d: -f1 KNOWN-RED.txt | paste -sd'|' -))\$")
+fi
+go test -race -count=1 "${skip[@]}" ./...
