Outlast failed Accepts, count the time in the queue, keep the listener to 0.6 s

net/http takes only Temporary errors as passing, doubles its wait up to 1 s, and the node counted a request's time from its first read. The listener, closed 0.45 s after SIGTERM over its queue, now stays to 0.6 s (0.4 s and a hold-up of 0.15 s).

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -35,6 +36,7 @@
 	changed  sync.Cond          // pumping ends
 	deadline time.Time          // as set for reads
 	came     time.Time          // when bytes have last come
+	queued   time.Time          // what the first request is read from may have come then already; zero: it did not
 	heard    bool               // bytes have come since it last came to rest
 	early    bool               // a byte of the next request has come while one was open
 	retired  bool               // nothing is to be read from it any more
@@ -45,9 +47,13 @@
 	leave    context.CancelFunc // ends the contexts of its requests
 }
 
-func newLimitedConn(c net.Conn, of *limited) *limitedConn {
+// newLimitedConn takes a connection that may have waited since then to be accepted.
+func newLimitedConn(c net.Conn, of *limited, since time.Time) *limitedConn {
 	lc := &limitedConn{Conn: c, of: of, leave: func() {}}
 	lc.changed.L = &lc.mu
+	if !silent(c) {
+		lc.queued = since
+	}
 	return lc
 }
 
@@ -81,7 +87,7 @@
 	if n == 0 {
 		return n, err
 	}
-	c.came = time.Now()
+	c.came = cmp.Or(c.queued, time.Now())
 	if c.heard = true; c.retired { // it came as the connection was given up, and is owed an answer
 		c.retired = false
 		c.setDeadline()
@@ -148,7 +154,7 @@
 func (c *limitedConn) setOpen(open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open = open
+	c.open, c.queued = open, time.Time{}
 	c.judge()
 }
 
@@ -212,7 +218,7 @@
 func (c *limitedConn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heard = c.early || len(c.ahead) > 0
+	c.heard, c.queued = c.early || len(c.ahead) > 0, time.Time{}
 }
 
 // retire has the connection closed if nothing of a request has come on it: by
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -25,6 +25,7 @@
 	answerSlack = 300 * time.Millisecond  // before SIGKILL all answers are given: a busy node writes for a while
 	closeSlack  = 150 * time.Millisecond  // before SIGKILL the node ends by itself
 	comeTime    = 450 * time.Millisecond  // after SIGTERM new connections still come for 0.2 to 0.4 s
+	acceptTime  = 600 * time.Millisecond  // and a node that is held up for 0.15 s just then still takes them
 	finishTime  = time.Second             // the last requests get so long, where there is time
 	lingerStep  = 50 * time.Millisecond   // between looks at whether all clients have gone
 	retireStep  = 10 * time.Millisecond   // the same when they are no longer waited for
@@ -53,6 +54,7 @@
 // stages tells when what happens after the order to stop, counted from it.
 type stages struct {
 	leave    time.Duration // clients are asked to close
+	accepted time.Duration // new connections are taken for so long at least
 	answered time.Duration // all that was taken has its answer
 	closed   time.Duration // what connections are left are closed
 }
@@ -64,6 +66,7 @@
 	kill := min(longest, longestHeld) + killSlack
 	e := stages{answered: kill - answerSlack, closed: kill - closeSlack}
 	e.leave = min(max(comeTime, e.answered-finishTime), e.answered)
+	e.accepted = min(acceptTime, e.closed)
 	return e
 }
 
@@ -94,6 +97,7 @@
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.node.log.Handler(), slog.LevelDebug)}
 	f.conns = limitListener(ln, f.most)
+	f.conns.log = f.node.log
 	srv.ConnState = f.conns.note
 	srv.ConnContext = f.conns.context
 	failed := make(chan error, 1)
@@ -108,12 +112,16 @@
 	f.node.post(func() { f.node.answerBy(began.Add(f.stages.answered)) })
 	f.linger(f.conns.open)
 	f.leaving.Store(true)
+	retire := func(until time.Duration, goOn func() bool) {
+		for time.Since(began) < until && goOn() {
+			f.conns.retire(time.Now())
+			time.Sleep(retireStep)
+		}
+	}
+	retire(f.stages.accepted, func() bool { return true })
 	ln.Close()
 	<-failed // until Serve has let go of the listener, Close would close it again and fail
-	for f.conns.open() > 0 && time.Since(began) < f.stages.closed {
-		f.conns.retire(time.Now())
-		time.Sleep(retireStep)
-	}
+	retire(f.stages.closed, func() bool { return f.conns.open() > 0 })
 	// All requests have been answered: what is left are connections on which
 	// none has come whole.
 	return srv.Close()
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -17,7 +18,7 @@
 // limited holds accepted connections to a number, so that clients leave
 // descriptors for the servers.
 type limited struct {
-	net.Listener
+	acceptor
 	most int
 
 	mu     sync.Mutex
@@ -32,7 +33,8 @@
 }
 
 func limitListener(ln net.Listener, most int) *limited {
-	return &limited{Listener: ln, most: most, unused: map[*limitedConn]unused{}}
+	return &limited{acceptor: acceptor{Listener: ln, log: slog.New(slog.DiscardHandler)}, most: most,
+		unused: map[*limitedConn]unused{}}
 }
 
 // Accept makes room by closing a connection that carries no request: clients
@@ -41,12 +43,12 @@
 // elsewhere and one that waits unheard can't.
 func (l *limited) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, since, err := l.next()
 		if err != nil {
 			return nil, err
 		}
 		if l.take() {
-			return newLimitedConn(c, l), nil
+			return newLimitedConn(c, l, since), nil
 		}
 		c.Close()
 	}
@@ -79,7 +81,10 @@
 	defer l.mu.Unlock()
 	switch {
 	case s == http.StateNew || s == http.StateIdle:
-		if lc.rest(); !lc.closed {
+		if s == http.StateIdle {
+			lc.rest()
+		}
+		if !lc.closed {
 			l.unused[lc] = unused{since: time.Now(), spoken: s == http.StateIdle}
 		}
 	case s == http.StateActive:
