Add failing tests of requests on connections beyond the limit

A request is taken once its last byte is written to a connection that the node's machine accepted, so a crowd of idle clients, or as many requests as there are places, must not cost other clients theirs.

--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 )
@@ -106,3 +107,64 @@
 		lc.mu.Unlock()
 	}
 }
+
+// TestCrowdShutsNobodyOut: a crowd of idle clients takes all places at once. Requests on connections that come right
+// behind it are answered, each on its first connection.
+func TestCrowdShutsNobodyOut(t *testing.T) {
+	server, _ := answering(t)
+	n := startNodeOn(t, listen(t), func(c *Config) { c.Sockets = 128 }, server)
+	for range 3 {
+		var crowd sync.WaitGroup
+		for range 5 * n.front.most {
+			crowd.Add(1)
+			go func() {
+				defer crowd.Done()
+				c, err := net.Dial("tcp", n.address)
+				if err != nil {
+					t.Errorf("a client of the crowd: %v", err)
+					return
+				}
+				c.SetReadDeadline(time.Now().Add(enough))
+				io.Copy(io.Discard, c) // until the node closes it
+				c.Close()
+			}()
+		}
+		for i := range 10 {
+			c := n.dial(t)
+			c.ask(t, "saldo", fmt.Sprint("q", i), "20")
+			if resp, err := http.ReadResponse(c.read, nil); err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("request %d: %v, %v; want 200", i, resp, err)
+			}
+		}
+		crowd.Wait()
+	}
+}
+
+// TestFullOfRequests: all places are taken by connections that carry requests. A further client waits for one of them.
+func TestFullOfRequests(t *testing.T) {
+	const places = 4
+	l := limitListener(listen(t), places)
+	got, release := make(chan bool, 100), make(chan struct{})
+	srv := &http.Server{ConnState: l.note, ConnContext: l.context, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		got <- true
+		<-release
+		io.WriteString(w, "ok")
+	})}
+	go srv.Serve(l)
+	t.Cleanup(func() { srv.Close() })
+	var clients []raw
+	for i := range 2 * places {
+		c := (&running{address: l.Addr().String()}).dial(t)
+		c.ask(t, "saldo", fmt.Sprint("q", i), "20")
+		if clients = append(clients, c); i < places {
+			wait(t, got, "the request")
+		}
+	}
+	held() // the listener finds no place for the others
+	close(release)
+	for i, c := range clients {
+		if resp, err := http.ReadResponse(c.read, nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("client %d: %v, %v; want 200", i, resp, err)
+		}
+	}
+}
