Have connections beyond the limit wait for a place instead of closing them

limited.Accept closed a new connection where every other carried a request or was younger than 20 ms, though a request could be on it. It now waits until one ends, comes to rest or has been silent for 20 ms; others wait in the listener's queue, and their time counts. At the node's end it waits up to the close of all.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -118,10 +118,13 @@
 			time.Sleep(retireStep)
 		}
 	}
+	some := func() bool { return f.conns.open() > 0 }
 	retire(f.stages.accepted, func() bool { return true })
 	ln.Close()
-	<-failed // until Serve has let go of the listener, Close would close it again and fail
-	retire(f.stages.closed, func() bool { return f.conns.open() > 0 })
+	retire(f.stages.closed, some)
+	f.conns.stop() // the last to have been accepted may wait for its place up to here
+	<-failed       // until Serve has let go of the listener, Close would close it again and fail
+	retire(f.stages.closed, some)
 	// All requests have been answered: what is left are connections on which
 	// none has come whole.
 	return srv.Close()
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -13,13 +13,16 @@
 const (
 	speakTime = 250 * time.Millisecond // a connection silent for longer is the first to give way
 	spareTime = 20 * time.Millisecond  // one that has just come is spared
+	placeStep = 5 * time.Millisecond   // between looks for a place at most
 )
 
 // limited holds accepted connections to a number, so that clients leave
-// descriptors for the servers.
+// descriptors for the servers. One more waits in Accept for its place.
 type limited struct {
 	acceptor
-	most int
+	most    int
+	changed chan struct{} // has a value when a place may have become free
+	stopped chan struct{} // closed by stop
 
 	mu     sync.Mutex
 	conns  int
@@ -34,26 +37,29 @@
 
 func limitListener(ln net.Listener, most int) *limited {
 	return &limited{acceptor: acceptor{Listener: ln, log: slog.New(slog.DiscardHandler)}, most: most,
-		unused: map[*limitedConn]unused{}}
+		changed: make(chan struct{}, 1), stopped: make(chan struct{}), unused: map[*limitedConn]unused{}}
 }
 
 // Accept makes room by closing a connection that carries no request: clients
-// that hold connections without using them must not shut out others. With
-// none of those it closes the new one, as a client that is turned away can go
-// elsewhere and one that waits unheard can't.
+// that hold connections without using them must not shut out others. With none
+// of those the new one waits until a place is free, and those behind it in the
+// listener's queue: its request may be on it already, and is owed an answer.
 func (l *limited) Accept() (net.Conn, error) {
-	for {
-		c, since, err := l.next()
-		if err != nil {
-			return nil, err
-		}
-		if l.take() {
-			return newLimitedConn(c, l, since), nil
+	c, since, err := l.next()
+	if err != nil {
+		return nil, err
+	}
+	for came := time.Now(); !l.take(); {
+		l.delayed(came)
+		if !l.awaitPlace() {
+			c.Close()
+			return nil, net.ErrClosed
 		}
-		c.Close()
 	}
+	return newLimitedConn(c, l, since), nil
 }
 
+// take takes a place.
 func (l *limited) take() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -64,6 +70,31 @@
 	return true
 }
 
+// awaitPlace waits until a place may have become free: a connection has ended
+// or come to rest, or one without a request has been spared for long enough.
+func (l *limited) awaitPlace() bool {
+	spared := time.NewTimer(placeStep)
+	defer spared.Stop()
+	select {
+	case <-l.changed:
+	case <-spared.C:
+	case <-l.stopped:
+		return false
+	}
+	return true
+}
+
+// notify wakes an Accept that waits for a place.
+func (l *limited) notify() {
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+// stop ends an Accept that waits for a place. It is called once.
+func (l *limited) stop() { close(l.stopped) }
+
 // open counts the connections.
 func (l *limited) open() int {
 	l.mu.Lock()
@@ -86,6 +117,7 @@
 		}
 		if !lc.closed {
 			l.unused[lc] = unused{since: time.Now(), spoken: s == http.StateIdle}
+			l.notify()
 		}
 	case s == http.StateActive:
 		if lc.use(); lc.closed { // given up while a request was on its way
@@ -169,6 +201,7 @@
 		c.closed = true
 		c.of.conns--
 		delete(c.of.unused, c)
+		c.of.notify()
 	}
 }
 
