Add failing tests of requests that stall or begin late on their connection

Clients that stop in the middle of a request are owed an error or a close within 3 s; a connection may be closed between requests, not under one. Seen: 1 to 3 bytes are given up after 4.0 s, a byte and 10 more 1.5 s later after 3.5 s; 5 of 6 requests that begin 0.2 s before their connection's time-out are cut.

--- /dev/null
+++ b/internal/node/stalled_test.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// owedWithin is the time in which a client that stops in the middle of a request gets an error or the end of its connection.
+const owedWithin = 3 * time.Second
+
+// askedAt is a connection of a client, with the time at which it was made; one that has spoken has had an answer.
+func (n *running) askedAt(t *testing.T, spoken bool) (raw, time.Time) {
+	t.Helper()
+	c, made := n.dial(t), time.Now()
+	if spoken {
+		io.WriteString(c, "GET /health/live HTTP/1.1\r\nHost: app.svc\r\n\r\n")
+		if s := c.status(t); s != http.StatusOK {
+			t.Fatalf("answer %d", s)
+		}
+	}
+	return c, made
+}
+
+// TestStalledRequest: a client sends a part of a request, some of it later, and stays. It is owed an end within 3 s: of
+// the first byte, and on a new connection of its making.
+func TestStalledRequest(t *testing.T) {
+	server, _ := answering(t)
+	n := startNode(t, server)
+	text := requests(1)
+	for _, spoken := range []bool{false, true} {
+		for _, first := range []int{1, 2, 3, 4, 20} {
+			for _, rest := range []time.Duration{0, 1900 * time.Millisecond} { // before it begins
+				for _, more := range []int{0, 10} { // bytes that come 1.5 s later
+					t.Run(fmt.Sprintf("spoken %v, rest %v, %d and %d bytes", spoken, rest, first, more), func(t *testing.T) {
+						t.Parallel()
+						c, from := n.askedAt(t, spoken)
+						time.Sleep(rest)
+						if spoken {
+							from = time.Now()
+						}
+						io.WriteString(c, text[:first])
+						if more > 0 && (spoken || rest == 0) {
+							time.Sleep(1500 * time.Millisecond)
+							io.WriteString(c, text[first:first+more])
+						}
+						resp, err := http.ReadResponse(c.read, nil)
+						if took := time.Since(from); took > owedWithin || err == nil && resp.StatusCode < 400 || isTimeout(err) {
+							t.Errorf("%v, %v after %v, want an error or the end within %v", resp, err, took, owedWithin)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// TestSlowRequestIsAwaited: a request begins just before its connection would be closed for being silent, and comes in
+// two parts. It is no connection between requests any more, and is served.
+func TestSlowRequestIsAwaited(t *testing.T) {
+	server, _ := answering(t)
+	n := startNode(t, server)
+	for _, spoken := range []bool{false, true} {
+		for _, first := range []int{1, 3, 20} {
+			text := strings.Replace(requests(1), "p0", fmt.Sprintf("%v-%d", spoken, first), 1)
+			t.Run(fmt.Sprintf("spoken %v, %d bytes first", spoken, first), func(t *testing.T) {
+				t.Parallel()
+				c, _ := n.askedAt(t, spoken)
+				rest := headTime
+				if spoken {
+					rest = idleTime
+				}
+				time.Sleep(rest - 200*time.Millisecond)
+				io.WriteString(c, text[:first])
+				time.Sleep(500 * time.Millisecond)
+				io.WriteString(c, text[first:])
+				if resp, err := http.ReadResponse(c.read, nil); err != nil || resp.StatusCode != http.StatusOK {
+					t.Errorf("%v, %v; want 200", resp, err)
+				}
+			})
+		}
+	}
+}
