Give each request its own time to come whole, from its first byte

net/http waits for a request's first 4 bytes under the idle time-out, gives head and body 2 s and 2.5 s from then on, and 2 s to a new connection whenever its request begins. limitedConn now sets the time itself: 2.5 s from the first byte, and 2.8 s from the accept for the first request, instead of net/http's time-outs; a resting connection is closed after 2.8 s (4 s before), as up to 3 bytes of a next request may be in net/http's buffer unseen.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -34,7 +34,10 @@
 
 	mu       sync.Mutex
 	changed  sync.Cond          // pumping ends
-	deadline time.Time          // as set for reads
+	made     time.Time          // when it was accepted
+	deadline time.Time          // as net/http sets it for reads
+	wholeBy  time.Time          // in its place, when the request that has begun to come is to be whole; zero: none has begun
+	spoken   bool               // it has carried a request
 	came     time.Time          // when bytes have last come
 	queued   time.Time          // what the first request is read from may have come then already; zero: it did not
 	heard    bool               // bytes have come since it last came to rest
@@ -49,7 +52,7 @@
 
 // newLimitedConn takes a connection that may have waited since then to be accepted.
 func newLimitedConn(c net.Conn, of *limited, since time.Time) *limitedConn {
-	lc := &limitedConn{Conn: c, of: of, leave: func() {}}
+	lc := &limitedConn{Conn: c, of: of, made: time.Now(), leave: func() {}}
 	lc.changed.L = &lc.mu
 	if !silent(c) {
 		lc.queued = since
@@ -88,7 +91,7 @@
 		return n, err
 	}
 	c.came = cmp.Or(c.queued, time.Now())
-	if c.heard = true; c.retired { // it came as the connection was given up, and is owed an answer
+	if c.begin(); c.retired { // it came as the connection was given up, and is owed an answer
 		c.retired = false
 		c.setDeadline()
 	}
@@ -96,6 +99,28 @@
 	return n, err
 }
 
+// begin notes that a part of a request has come. From its first byte on it has
+// a time of its own, as net/http's time-outs are those of a connection at rest
+// up to its fourth byte. The caller holds c.mu.
+func (c *limitedConn) begin() {
+	if !c.heard && !c.open {
+		c.wholeBy = time.Now().Add(readTime)
+		if first := c.made.Add(firstTime); !c.spoken && first.Before(c.wholeBy) {
+			c.wholeBy = first
+		}
+		c.setDeadline()
+	}
+	c.heard = true
+}
+
+// endReading ends the time for the request that is being read.
+func (c *limitedConn) endReading(by time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wholeBy = by
+	c.setDeadline()
+}
+
 // note sees to it that what comes behind a single byte is read ahead. The
 // caller holds c.mu.
 func (c *limitedConn) note(wanted int) {
@@ -150,11 +175,12 @@
 	}
 }
 
-// setOpen tells whether a request waits for its answer.
+// setOpen tells whether a request, which has come whole, waits for its answer.
 func (c *limitedConn) setOpen(open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open, c.queued = open, time.Time{}
+	c.open, c.queued, c.wholeBy = open, time.Time{}, time.Time{}
+	c.setDeadline()
 	c.judge()
 }
 
@@ -198,6 +224,8 @@
 		return nil // Read sets it as it takes over
 	case c.retired:
 		return c.Conn.SetReadDeadline(longAgo)
+	case !c.wholeBy.IsZero() && (c.deadline.IsZero() || c.deadline.After(c.made)): // an earlier one is an order to stop
+		return c.Conn.SetReadDeadline(c.wholeBy)
 	}
 	return c.Conn.SetReadDeadline(c.deadline)
 }
@@ -218,7 +246,10 @@
 func (c *limitedConn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heard, c.queued = c.early || len(c.ahead) > 0, time.Time{}
+	c.heard, c.spoken, c.queued, c.wholeBy = false, true, time.Time{}, time.Time{}
+	if c.early || len(c.ahead) > 0 {
+		c.begin()
+	}
 }
 
 // retire has the connection closed if nothing of a request has come on it: by
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -29,11 +29,12 @@
 	finishTime  = time.Second             // the last requests get so long, where there is time
 	lingerStep  = 50 * time.Millisecond   // between looks at whether all clients have gone
 	retireStep  = 10 * time.Millisecond   // the same when they are no longer waited for
-	headTime    = 2 * time.Second         // for a request's head
-	readTime    = 2500 * time.Millisecond // for a whole request
+	silentTime  = 2 * time.Second         // for a new connection to begin with a request
+	readTime    = 2500 * time.Millisecond // for a whole request, from its first byte
+	firstTime   = 2800 * time.Millisecond // for the first request, from the connection's accept
 	writeTime   = 5 * time.Second         // for an answer
 	dregsTime   = 200 * time.Millisecond  // for what is left of a request that is turned away
-	idleTime    = 4 * time.Second         // for a connection between requests
+	idleTime    = 2800 * time.Millisecond // for a connection between requests, as a part of the next may be in net/http's buffer
 	maxIDLength = 128
 	maxPatience = time.Hour
 )
@@ -94,7 +95,7 @@
 // no other node just now. Then it asks each client to close and finishes what
 // is open.
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
-	srv := &http.Server{Handler: f, ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime,
+	srv := &http.Server{Handler: f, ReadHeaderTimeout: silentTime, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.node.log.Handler(), slog.LevelDebug)}
 	f.conns = limitListener(ln, f.most)
 	f.conns.log = f.node.log
@@ -148,7 +149,7 @@
 	}
 	req, event, status, err := f.read(w, r)
 	if err != nil {
-		f.turnAway(w, err, status)
+		f.turnAway(w, r, err, status)
 		return
 	}
 	if a, ok := f.answer(r.Context(), req, event); ok {
@@ -186,9 +187,11 @@
 // turnAway answers a request that can't be read and ends its connection. What
 // follows on it may belong to the body of this request as the client sees it,
 // so none of it is taken for a request; and the answer waits for no body.
-func (f *frontend) turnAway(w http.ResponseWriter, err error, status int) {
+func (f *frontend) turnAway(w http.ResponseWriter, r *http.Request, err error, status int) {
 	w.Header().Set("Connection", "close")
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(dregsTime)) // fails only on a closed connection
+	if c, ok := r.Context().Value(connKey{}).(*limitedConn); ok {
+		c.endReading(time.Now().Add(dregsTime))
+	}
 	http.Error(w, err.Error(), status)
 }
 
--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -51,8 +51,8 @@
 func TestHalfRequests(t *testing.T) {
 	server, got, _ := silentServer(t)
 	n := startNode(t, server)
-	if headTime >= 3*time.Second || readTime >= 3*time.Second || idleTime > time.Minute {
-		t.Errorf("a head may take %v, a request %v, a connection may be idle %v", headTime, readTime, idleTime)
+	if silentTime >= owedWithin || readTime >= owedWithin || firstTime >= owedWithin || idleTime >= owedWithin {
+		t.Errorf("a connection may be silent %v, a request take %v, the first one %v, a connection be idle %v", silentTime, readTime, firstTime, idleTime)
 	}
 	for name, text := range map[string]string{
 		"half a head": "GET /api/x HTTP/1.1\r\nHost: app",
--- a/internal/node/stalled_test.go
+++ b/internal/node/stalled_test.go
@@ -69,7 +69,7 @@
 			t.Run(fmt.Sprintf("spoken %v, %d bytes first", spoken, first), func(t *testing.T) {
 				t.Parallel()
 				c, _ := n.askedAt(t, spoken)
-				rest := headTime
+				rest := silentTime
 				if spoken {
 					rest = idleTime
 				}
