--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -166,7 +166,7 @@
 func (c *limitedConn) left(ctx context.Context) bool {
 	for waited := time.Duration(0); ; waited += aheadStep {
 		n, err := peek(c.Conn)
-		if n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET) {
+		if lost(n, err) {
 			return true
 		}
 		if n < 1 || waited >= aheadTime || !sleep(ctx, aheadStep) {
@@ -175,6 +175,11 @@
 	}
 }
 
+// lost tells whether a peek has found the connection's end.
+func lost(n int, err error) bool {
+	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+}
+
 // setOpen tells whether a request, which has come whole, waits for its answer.
 func (c *limitedConn) setOpen(open bool) {
 	c.mu.Lock()
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"slices"
+	"syscall"
 	"time"
 )
 
@@ -130,3 +132,10 @@
 	}
 	p.keep(c)
 }
+
+// unreachable tells whether an error says that no way leads to a server, which
+// can be the doing of this machine, of the network or of the server.
+func unreachable(err error) bool {
+	return errors.Is(err, syscall.ENETUNREACH) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETDOWN) ||
+		errors.Is(err, syscall.ETIMEDOUT)
+}
--- a/internal/node/dial_test.go
+++ b/internal/node/dial_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -138,3 +140,89 @@
 		t.Errorf("outcome %v, want ConnectFailed", res.code)
 	}
 }
+
+// passingDialErrors are those of socket(2) and connect(2) that this machine's own state can bring about for a moment.
+var passingDialErrors = []syscall.Errno{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EINTR,
+	syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ENETDOWN, syscall.ETIMEDOUT, syscall.EPERM,
+}
+
+// failDials has the dials of a pool fail while failing says so.
+func failDials(p *pool, failing func() error) {
+	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+		if err := failing(); err != nil {
+			return os.NewSyscallError("connect", err)
+		}
+		return nil
+	}
+}
+
+// TestDialFailsForAMoment: socket and connect fail three times in a row. The attempt outlasts it.
+func TestDialFailsForAMoment(t *testing.T) {
+	for _, errno := range passingDialErrors {
+		t.Run(errno.Error(), func(t *testing.T) {
+			t.Parallel()
+			address, _ := listening(t)
+			p := testPool(address)
+			var failures atomic.Int32
+			failures.Store(3)
+			failDials(p, func() error {
+				if failures.Add(-1) >= 0 {
+					return errno
+				}
+				return nil
+			})
+			if res := try(t, p, enough); res.code != decide.OK {
+				t.Errorf("outcome %d, want OK", res.code)
+			}
+			idleCount(t, p, 1)
+		})
+	}
+}
+
+// TestDialFailsOnAndOn: no server is blamed where none can be reached from here. Where another connection comes up
+// meanwhile, the server is that can't be reached.
+func TestDialFailsOnAndOn(t *testing.T) {
+	for _, errno := range passingDialErrors {
+		for _, otherComesUp := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v, another comes up: %v", errno, otherComesUp), func(t *testing.T) {
+				t.Parallel()
+				address, _ := listening(t)
+				other, _ := listening(t)
+				p := testPool(address)
+				p.set(2, other, 0, false)
+				p.dialer.Timeout = 200 * time.Millisecond
+				p.dialer.ControlContext = func(_ context.Context, _, to string, _ syscall.RawConn) error {
+					if to == address || !otherComesUp {
+						return os.NewSyscallError("connect", errno)
+					}
+					return nil
+				}
+				ended := make(chan result, 1)
+				began := time.Now()
+				go func() { ended <- try(t, p, enough) }()
+				held()
+				ctx, cancel := context.WithTimeout(context.Background(), enough)
+				defer cancel()
+				p.attempt(ctx, ctx, 2, get("/api/x"))
+				want := decide.Moot
+				if otherComesUp && unreachable(errno) {
+					want = decide.ConnectFailed
+				}
+				if res := wait(t, ended, "the attempt's end"); res.code != want || time.Since(began) > enough/2 {
+					t.Errorf("outcome %d after %v, want %d", res.code, time.Since(began), want)
+				}
+			})
+		}
+	}
+}
+
+// TestRefusedIsToldAtOnce: a server that refuses is left for another without a wait.
+func TestRefusedIsToldAtOnce(t *testing.T) {
+	p := testPool(refusing(t))
+	var dials atomic.Int32
+	failDials(p, func() error { dials.Add(1); return nil })
+	if res := try(t, p, enough); res.code != decide.ConnectFailed || dials.Load() != 1 {
+		t.Errorf("outcome %d after %d dials, want ConnectFailed after one", res.code, dials.Load())
+	}
+}
