Outlast failing dials, and blame servers only for what is theirs

A dial that failed on this machine's account ended its attempt, and unreachable networks counted as the server's failures, two strikes each. dialOut now tries again within the time that the connection may take; one that still can't be reached is to blame only where another server could be, meanwhile. left takes all errors of a broken connection as its end.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -48,6 +48,7 @@
 	mu       sync.Mutex
 	open     int // connections, idle, in use or being dialled
 	most     int
+	upAt     time.Time // when a connection to any server has last come up
 	backends map[decide.ServerID]*backend
 }
 
@@ -267,7 +268,9 @@
 	}
 	closed := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		for again := true; again; again = errors.Is(err, syscall.EINTR) {
+			n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}
 	})
 	if closed != nil {
 		return 0, closed
@@ -395,14 +398,14 @@
 var (
 	errNotListed = errors.New("the server is not listed")
 	errTooMany   = errors.New("too many connections")
+	errCutOff    = errors.New("no server can be reached from here")
 )
 
 // unsent is the outcome of an attempt whose last byte was not written. It has
 // never run; but the server is to blame only where neither the request's own
 // end nor a want on this side kept it from being sent.
 func unsent(ctx context.Context, err error) decide.OutcomeCode {
-	if ctx.Err() != nil || errors.Is(err, errNotListed) || errors.Is(err, errTooMany) || errors.Is(err, syscall.EMFILE) ||
-		errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+	if ctx.Err() != nil || errors.Is(err, errNotListed) || errors.Is(err, errTooMany) || errors.Is(err, errCutOff) || local(err) {
 		return decide.Moot
 	}
 	return decide.ConnectFailed
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -177,7 +177,16 @@
 
 // lost tells whether a peek has found the connection's end.
 func lost(n int, err error) bool {
-	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+	if err == nil {
+		return n == 0
+	}
+	for _, errno := range []syscall.Errno{syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH,
+		syscall.EPIPE, syscall.ECONNABORTED, syscall.ENOTCONN} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
 }
 
 // setOpen tells whether a request, which has come whole, waits for its answer.
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -22,20 +22,25 @@
 	// is sent again after 1 s (RFC 6298), and the connection serves the next
 	// request; given up, it would cost the server its handshake for nothing.
 	dialLongest = 2 * time.Second
+
+	dialRetryFirst = 2 * time.Millisecond  // wait behind a dial that failed on this machine's account; doubles
+	dialRetryLast  = 30 * time.Millisecond // the longest such wait
 )
 
 // want is an attempt that waits for a connection.
 type want struct {
-	up     chan *conn // takes one connection, from whichever dial
-	failed chan error // takes an error from each of its own dials
-	dials  []context.CancelFunc
+	began    time.Time
+	up       chan *conn // takes one connection, from whichever dial
+	failed   chan error // takes an error from each of its own dials
+	dials    []context.CancelFunc
+	obstacle error // the last failure behind which a dial of its own goes on
 }
 
 // connect dials and waits for the first connection to the backend that comes
 // up, its own or one that an earlier attempt left behind. The caller has taken
 // leave for the first dial. An error proves that nothing was sent.
 func (p *pool) connect(ctx context.Context, b *backend) (*conn, error) {
-	w := &want{up: make(chan *conn, 1), failed: make(chan error, 2)}
+	w := &want{began: time.Now(), up: make(chan *conn, 1), failed: make(chan error, 2)}
 	var late, hedge <-chan time.Time
 	if limit := p.dialer.Timeout; limit > 0 {
 		l, h := time.NewTimer(limit), time.NewTimer(time.Duration(hedgePart*float64(limit)))
@@ -66,7 +71,7 @@
 				continue
 			}
 		case <-late:
-			err = fmt.Errorf("dial %s: %w", b.address, os.ErrDeadlineExceeded)
+			err = p.lateError(b, w)
 		case <-ctx.Done():
 			err = ctx.Err()
 		}
@@ -106,9 +111,7 @@
 	w.dials = append(w.dials, cancel)
 	go func() {
 		defer cancel()
-		d := p.dialer
-		d.Timeout = 0 // that of the attempt, which connect keeps
-		raw, err := d.DialContext(ctx, "tcp", b.address)
+		raw, err := p.dialOut(ctx, b.address, w)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		b.dials--
@@ -121,9 +124,44 @@
 	}()
 }
 
+// dialOut connects to an address. What fails on this machine's account fails
+// for a moment, so it is tried again until ctx ends. So is an address that can't
+// be reached, as that may be on this machine's account.
+func (p *pool) dialOut(ctx context.Context, address string, w *want) (net.Conn, error) {
+	d := p.dialer
+	d.Timeout = 0 // that of the attempt, which connect keeps
+	for wait := dialRetryFirst; ; wait = min(2*wait, dialRetryLast) {
+		raw, err := d.DialContext(ctx, "tcp", address)
+		if err == nil || !local(err) && !unreachable(err) {
+			return raw, err
+		}
+		p.mu.Lock()
+		w.obstacle = err
+		p.mu.Unlock()
+		if !sleep(ctx, wait) {
+			return nil, err
+		}
+	}
+}
+
+// lateError tells why no connection has come up in time. A server that can't be
+// reached is to blame only where another one could be.
+func (p *pool) lateError(b *backend, w *want) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case w.obstacle == nil:
+		return fmt.Errorf("dial %s: %w", b.address, os.ErrDeadlineExceeded)
+	case unreachable(w.obstacle) && p.upAt.Before(w.began):
+		return fmt.Errorf("%w: %w", errCutOff, w.obstacle)
+	}
+	return w.obstacle
+}
+
 // dialled hands a new connection to the attempt that has waited longest, or
 // keeps it for the next one. The caller holds p.mu.
 func (p *pool) dialled(b *backend, raw net.Conn) {
+	p.upAt = time.Now()
 	c := newConn(raw, p, b)
 	if len(b.wants) > 0 { // the last gate is up to the attempt
 		b.wants[0].up <- c
@@ -133,6 +171,17 @@
 	p.keep(c)
 }
 
+// local tells whether a dial has failed for want of something on this machine.
+func local(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
+		syscall.EAGAIN, syscall.EINTR, syscall.EPERM} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
 // unreachable tells whether an error says that no way leads to a server, which
 // can be the doing of this machine, of the network or of the server.
 func unreachable(err error) bool {
