--- a/decide/ramp_test.go
+++ b/decide/ramp_test.go
@@ -29,6 +29,8 @@
 	quick          bool                             // cold servers answer as fast as others, whatever they get
 	fails          float64                          // part of all answers that are errors
 	after          time.Duration                    // how long it is watched; 0: 5 s
+	ahead          time.Duration                    // of the nodes' wall clocks before that by which starts are dated
+	dated          time.Duration                    // the earlier process of a cold server began so long before the start; 0: long ago
 }
 
 type fleetServer struct {
@@ -204,12 +206,24 @@
 func (f *fleet) list() (all []decide.Server) {
 	for _, s := range f.backends {
 		if s.StartedAt > 0 || f.down >= 0 || int(s.ID) > max(1, f.cold) {
-			all = append(all, s.Server)
+			all = append(all, f.listed(s))
 		}
 	}
 	return all
 }
 
+// listed is a server as a list names it.
+func (f *fleet) listed(s *fleetServer) decide.Server {
+	l := s.Server
+	switch {
+	case l.StartedAt > 0:
+		l.StartedAt -= f.ahead
+	case f.dated > 0 && int(s.ID) <= max(1, f.cold):
+		l.StartedAt = f.start - f.dated
+	}
+	return l
+}
+
 // clients of a node come by chance.
 func (f *fleet) clients(node int, rate float64) {
 	var next func()
@@ -286,7 +300,7 @@
 				f.knows[i] = f.lives[i]
 				var news []decide.Server
 				for _, s := range cold {
-					news = append(news, s.Server)
+					news = append(news, f.listed(s))
 				}
 				f.handle(i, decide.ListUpdate{Kind: decide.ListChanges, Entries: news})
 			})
@@ -369,6 +383,11 @@
 	{name: "quiet 3 s, then four times", load: after(0.3, 3*time.Second, 4)},
 	{name: "used to a third", used: 0.35, load: after(0, 2*time.Second, 2)},
 	{name: "one answer in five fails", fails: 0.2, uneven: true},
+	{name: "clocks an hour ahead", ahead: time.Hour},
+	{name: "clocks an hour ahead, three new", ahead: time.Hour, cold: 3, down: -1, told: within(2 * time.Second)},
+	{name: "clocks five seconds ahead", ahead: 5 * time.Second, uneven: true},
+	{name: "clocks an hour behind, all restarted", ahead: -time.Hour, restart: true},
+	{name: "dated before its last start", ahead: time.Hour, dated: 10 * time.Minute},
 }
 
 // TestColdSumOfTheFleet plays each scene on fleets of many sizes: no server may get more, from all nodes, than what the
@@ -415,8 +434,9 @@
 // A server that gets nothing never warms up on sites where it warms by work: what it gets must be a good part of what it
 // can do by then, whether its nodes see much or little.
 func TestColdServersWarmUp(t *testing.T) {
-	for _, c := range []rampCase{{nodes: 5, servers: 12, rate: 30}, {nodes: 30, servers: 12, rate: 10}, {nodes: 30, servers: 40, rate: 3}} {
-		t.Run(fmt.Sprint(c.nodes, " nodes, ", c.servers, " servers"), func(t *testing.T) {
+	for _, c := range []rampCase{{nodes: 5, servers: 12, rate: 30}, {nodes: 30, servers: 12, rate: 10}, {nodes: 30, servers: 40, rate: 3},
+		{nodes: 5, servers: 12, rate: 30, ahead: -time.Hour}} {
+		t.Run(fmt.Sprint(c.nodes, " nodes, ", c.servers, " servers, ", c.ahead, " ahead"), func(t *testing.T) {
 			t.Parallel()
 			const seeds = 3
 			c.load, c.after = after(0, 0, 1), 10*time.Second
