Count a start that is news from the time it is told, not by wall clocks

Slow start dated a server by its list's time on the node's wall clock as it was at the node's start, and took only a later date for a restart. Another date is now another process, and counts from its news; only what a process finds in its first whole list is dated by the clocks, put right by the newest start listed.

--- a/decide/cold.go
+++ b/decide/cold.go
@@ -2,7 +2,10 @@
 
 // How cold servers are paced.
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	coldStart  = 4.0 // 1/s, of all nodes to a cold server with no warm one to compare
@@ -13,6 +16,26 @@
 	s.cold, s.coldSince, s.tokens, s.tokensAt, s.rate = true, at, m.random(), m.now, 0
 }
 
+// clockLag is by how much this node's clock is behind that by which starts are dated, as far as a list shows it: no server
+// has started later than now.
+func (m *Module) clockLag(e ListUpdate) time.Duration {
+	lag := time.Duration(0)
+	for _, n := range e.Entries {
+		lag = max(lag, n.StartedAt-m.now)
+	}
+	return lag
+}
+
+// startOf is when a server that a list names with another start has begun, on the module's clock. Wall clocks, by which
+// starts are dated, may be stepped. So a start that is news counts from now on: that is late by what the news took, and
+// a server that is taken for colder than it is gets less. What a process finds in its first whole list, it has to date.
+func (m *Module) startOf(n Server, kind ListKind, lag time.Duration) Time {
+	if kind == ListChanges || m.informed {
+		return m.now
+	}
+	return n.StartedAt - lag
+}
+
 // warmth is the part of its capacity that a server has by now.
 func (m *Module) warmth(s *server) float64 {
 	warm := (m.now - s.coldSince).Seconds() / math.Max(m.set.ColdTime.Seconds(), 1e-9)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -689,16 +689,19 @@
 			s.State = Gone
 		}
 	}
+	lag := m.clockLag(e)
 	for _, n := range e.Entries {
 		s := m.serverOf(n.ID)
-		if n.State == Ready && n.StartedAt > s.StartedAt { // nothing learned of an older process holds
+		// Another start is another process, also where it is dated before the last: nothing learned of that holds.
+		if n.State == Ready && n.StartedAt != 0 && n.StartedAt != s.StartedAt {
 			s.suspect, s.strikes, s.unanswered, s.imposedUntil = false, 0, 0, m.now
-			m.startCold(s, n.StartedAt)
+			m.startCold(s, m.startOf(n, e.Kind, lag))
 		}
 		if s.Server, s.kind = n, m.kindOf(n.Kind); n.State != Ready {
 			m.do(CloseIdle{Server: s.ID}) // those in use follow as they end
 		}
 	}
+	m.informed = m.informed || e.Kind != ListCached
 	m.list = m.list[:0]
 	for id, s := range m.known {
 		if s.home = false; s.State != Gone {
--- a/decide/state.go
+++ b/decide/state.go
@@ -124,6 +124,7 @@
 	requests         map[RequestID]*request
 	open             []*request // in order of arrival
 	ticking, learned bool
+	informed         bool // a list has come from discovery since this process began
 	answers          float64
 	mean, base       float64 // s: smoothed latency; uncrowded
 	fleetRate, peak  float64 // answers each second from the mean server; the most that this has been
