Ask discovery once more beside a call that has no answer

Calls that wait in vain were awaited to their time-out one after another: 3.8 s behind the hold of a silent watch, 5.2 s after SIGHUP. Shorter time-outs would lose calls their turn, so a call now has up to three requests beside each other, 0.3 s behind a hold and 0.8 s behind the last; the first answer holds.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -43,7 +44,7 @@
 	watcher *Watcher
 	giveUp  context.CancelFunc // the call under way; nil: none
 
-	fresh bool // watches get new connections, as discovery closes those that it has answered on; belongs to Run
+	fresh atomic.Bool // watches get new connections, as discovery closes those that it has answered on
 }
 
 // NewClient makes a Client of the discovery at address, host:port. Run starts
@@ -52,7 +53,7 @@
 func NewClient(address string, p Pace, random func() float64, log *slog.Logger) *Client {
 	return &Client{url: "http://" + address + "/registry/instances", pace: p, log: log,
 		start: time.Now(), ended: make(chan struct{}), asked: make(chan struct{}, 1), watcher: NewWatcher(p, random),
-		http: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
+		http: &http.Client{Transport: &http.Transport{MaxConnsPerHost: mostRequests + 1, MaxIdleConnsPerHost: 1,
 			DialContext: (&net.Dialer{Timeout: p.Late}).DialContext}}}
 }
 
@@ -123,10 +124,47 @@
 	}
 }
 
-// get makes a call. Its time-outs guard against a discovery that takes a call
-// and says nothing, or not all; one that is slow with a long list is left to
-// finish, as each further call would only begin the list again.
-func (c *Client) get(ctx context.Context, call Call) (l List, err error) {
+// get makes a call by its requests, and gives the first answer.
+func (c *Client) get(ctx context.Context, call Call) (List, error) {
+	ctx, giveUp := context.WithCancel(ctx)
+	defer giveUp() // the others
+	type outcome struct {
+		list List
+		err  error
+	}
+	times, began := call.Requests(), time.Now()
+	ended := make(chan outcome, len(times))
+	request := func(part Call) {
+		part.Timeout -= time.Since(began)
+		go func() {
+			l, err := c.request(ctx, part)
+			ended <- outcome{l, err}
+		}()
+	}
+	request(call)
+	for sent, running := 1, 1; ; {
+		var next <-chan time.Time
+		if sent < len(times) {
+			timer := time.NewTimer(times[sent] - time.Since(began))
+			defer timer.Stop()
+			next = timer.C
+		}
+		select {
+		case o := <-ended:
+			if running--; o.err == nil || running == 0 {
+				return o.list, o.err
+			}
+		case <-next:
+			request(call.poll())
+			sent, running = sent+1, running+1
+		}
+	}
+}
+
+// request asks discovery once. Its time-outs guard against a discovery that
+// takes a call and says nothing, or not all; one that is slow with a long list
+// is left to finish, as each further call would only begin the list again.
+func (c *Client) request(ctx context.Context, call Call) (l List, err error) {
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
 	defer func() {
@@ -139,13 +177,15 @@
 		// again breaks. That would be a watch that may hang through an outage
 		// for all of its hold, though one has failed. Where lists are pushed
 		// the hold is short and the time-out covers both.
-		if c.fresh {
+		if c.fresh.Load() {
 			c.http.CloseIdleConnections()
 		}
 		tries, began := 0, time.Now()
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GetConn: func(string) {
 			if tries++; tries > 1 {
-				c.fresh = c.fresh || time.Since(began) < staleTime
+				if time.Since(began) < staleTime {
+					c.fresh.Store(true)
+				}
 				giveUp(errBroken)
 			}
 		}})
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -428,3 +428,41 @@
 		}
 	}
 }
+
+// TestCallsBesideASilentWatch: a watch hangs past its hold, and so does the next request. What they miss is known 2 s
+// behind the hold, and the requests that are left over are given up.
+func TestCallsBesideASilentWatch(t *testing.T) {
+	const hold = 100 * time.Millisecond
+	var calls atomic.Int32
+	gone := make(chan bool, 10)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch n := calls.Add(1); {
+		case n == 1:
+			fmt.Fprint(w, `{"index":1,"snapshot":true,"endpoints":[]}`)
+		case n == 4:
+			fmt.Fprintf(w, `{"index":2,"snapshot":false,"endpoints":[%s]}`, entryJSON("s", "127.0.0.1:1", "draining"))
+		default:
+			<-r.Context().Done()
+			gone <- true
+		}
+	}))
+	defer s.Close()
+	defer s.CloseClientConnections()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := PaceOf(decide.Settings{AskForList: true, DrainGrace: time.Second})
+	p.Hold = hold
+	lists := make(chan List, 10)
+	d := client(s, p, lists)
+	d.Failed = func() { t.Error("told a failure") }
+	d.Ask(true, true)
+	go d.Run(ctx)
+	wait(t, lists, "the first list")
+	silent := time.Now()
+	if l := wait(t, lists, "the second list"); l.Index != 2 || time.Since(silent) > hold+2*time.Second {
+		t.Errorf("version %d after %v, want 2 within 2 s of the hold", l.Index, time.Since(silent))
+	}
+	for range 2 {
+		wait(t, gone, "the end of the others")
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -9,16 +9,20 @@
 )
 
 const (
-	holdAsked  = 20 * time.Second       // a call to the shared service costs it work
-	lateAsked  = time.Second            // half of the 2 s behind a hold, the other half being for the next call
-	turnAsked  = 2 * time.Second        // calls wait for their turn at the service; one given up sooner only waits anew
-	pollHold   = 10 * time.Millisecond  // answered at once in effect; 0 could be read as a missing figure
-	firstWait  = 50 * time.Millisecond  // behind a first failure at the agent, which costs nothing to ask
-	leastGrace = 400 * time.Millisecond // calls to the agent cost the node processor time, if nothing else
-	mostGrace  = 4 * time.Second        // a watch that has fallen silent must be found within 6 s in any case
-	unheldWait = 100 * time.Millisecond // between calls to a discovery that holds none: no loop
-	unheldPart = 100                    // a call that ends within this part of its hold was not held
-	jitterMost = 1.5                    // of a wait; the least is a third of it
+	holdAsked  = 20 * time.Second        // a call to the shared service costs it work
+	lateAsked  = 2300 * time.Millisecond // a call beside a silent watch may wait for its turn; the next one begins sooner
+	besideHold = 300 * time.Millisecond  // behind its hold a watch is silent, and a call goes out beside it
+	besideStep = 800 * time.Millisecond  // behind the last of them a call has no answer, and another goes out beside it
+	turnAsked  = 2 * time.Second         // calls wait for their turn at the service; one given up sooner only waits anew
+	pollHold   = 10 * time.Millisecond   // answered at once in effect; 0 could be read as a missing figure
+	firstWait  = 50 * time.Millisecond   // behind a first failure at the agent, which costs nothing to ask
+	leastGrace = 400 * time.Millisecond  // calls to the agent cost the node processor time, if nothing else
+	mostGrace  = 4 * time.Second         // a watch that has fallen silent must be found within 6 s in any case
+	unheldWait = 100 * time.Millisecond  // between calls to a discovery that holds none: no loop
+	unheldPart = 100                     // a call that ends within this part of its hold was not held
+	jitterMost = 1.5                     // of a wait; the least is a third of it
+
+	mostRequests = 3 // of a call: the watch, one in vain beside it, and one more
 )
 
 // Never is the time of what is not due.
@@ -30,11 +34,13 @@
 //
 // Where that call was held, its failure is seen within Hold+Late, and the next
 // call is given up after Poll. Where it was not, the third call begins within
-// two Cadences.
+// two Cadences. Where Beside is set, up to two of the calls that follow a hold,
+// and one that follows another call, go out beside it, without awaiting its end.
 type Pace struct {
 	Asked   bool          // the module says when to call and is told of failures; otherwise the Watcher follows by itself
 	Hold    time.Duration // discovery may keep a call for so long when it has no news
 	Late    time.Duration // its answer may come so much later; also the time-out of a dial
+	Beside  time.Duration // without an answer, before the same is asked once more beside a call; 0: never
 	Poll    time.Duration // time-out of the first call behind a failure, which is not held
 	List    time.Duration // time-out of a call for the whole list, and of calls behind two failures or more
 	Cadence time.Duration // from the start of a call that fails to the start of the next, if it was not held
@@ -56,7 +62,7 @@
 // can't be seen by a call that hangs through it.
 func PaceOf(s decide.Settings) Pace {
 	if s.AskForList {
-		return Pace{Asked: true, Hold: holdAsked, Late: lateAsked, Poll: turnAsked, List: turnAsked, Cadence: decide.AskCadence}
+		return Pace{Asked: true, Hold: holdAsked, Late: lateAsked, Beside: besideStep, Poll: turnAsked, List: turnAsked, Cadence: decide.AskCadence}
 	}
 	grace := min(max(s.DrainGrace, leastGrace), mostGrace)
 	return Pace{Hold: grace / 4, Late: grace / 8, Poll: grace / 8, List: grace / 4, Cadence: grace * 5 / 16, First: min(firstWait, grace/24)}
@@ -70,9 +76,36 @@
 	Timeout time.Duration // the call has failed if its answer has not begun by then, counted from Next,
 	Stall   time.Duration // or if nothing more of it comes for so long
 
+	beside time.Duration // step of the requests beside it; 0: there are none
 	number int
 }
 
+// Requests gives the times, from Next on, at which the call's requests go out
+// while none has been answered or all but the last have failed. The first is
+// the call as Query says; the others are not held. One that waits for its turn
+// in vain must not cost the time of two, and one that is given up loses its
+// turn, so they go out beside each other; the first answer is that of the call.
+func (c Call) Requests() []time.Duration {
+	times := []time.Duration{0}
+	if c.beside == 0 {
+		return times
+	}
+	next := c.beside
+	if c.held() {
+		next = c.Hold + besideHold
+	}
+	for ; next < c.Timeout && len(times) < mostRequests; next += c.beside {
+		times = append(times, next)
+	}
+	return times
+}
+
+// poll is the same call, not held.
+func (c Call) poll() Call {
+	c.Hold = pollHold
+	return c
+}
+
 // Query is the call's part of the URL behind the path, with its question mark.
 func (c Call) Query() string {
 	if c.Whole {
@@ -119,6 +152,9 @@
 		return Call{}, w.at, false
 	}
 	c = Call{Whole: w.fetch || !w.known, Timeout: w.pace.List, Stall: w.pace.List}
+	if w.failures <= 1 {
+		c.beside = w.pace.Beside
+	}
 	if !c.Whole {
 		c.From = w.index
 		switch {
