--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -548,3 +548,20 @@
 		t.Errorf("answer %d, want a failure", s)
 	}
 }
+
+// TestRefusedAtTheLimitIsToldToWait: a request beyond those that the settings let a node have open is refused at once,
+// with the time to come back, where clients are told one.
+func TestRefusedAtTheLimitIsToldToWait(t *testing.T) {
+	for _, holdOffs := range []bool{true, false} {
+		server, got, _ := silentServer(t)
+		n := startNodeWith(t, func(s *decide.Settings) { s.MaxOpen, s.HoldOffs = 1, holdOffs }, server)
+		c := n.dial(t)
+		c.ask(t, "saldo", "q", "60")
+		wait(t, got, "the attempt")
+		a := do(t, n.request(t, "GET", "saldo", "r", "60", nil))
+		after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		if told := err == nil && after > 0 && after <= n.cfg.Settings.MaxHoldOff.Seconds(); a.status != http.StatusServiceUnavailable || told != holdOffs {
+			t.Errorf("hold-offs %v: answer %d with Retry-After %q", holdOffs, a.status, a.header.Get("Retry-After"))
+		}
+	}
+}
