Tell the time to come back at the limit, and date news within what the ramp bears

The refusal beyond the limit of open requests and the guard's carry the module's hold-off. It is now dated back to half as warm again at most, a process that is back in the list is no news, and starts over an hour ago are dated.

--- a/decide/cold.go
+++ b/decide/cold.go
@@ -10,6 +10,10 @@
 const (
 	coldStart  = 4.0 // 1/s, of all nodes to a cold server with no warm one to compare
 	coldGrowth = 0.5 // of the overload factor, times what a cold server can do
+
+	clockStep   = time.Hour        // by which wall clocks are stepped at most
+	departedFor = 10 * time.Minute // for so long is a server that has left the list known to be the same
+	newsGrowth  = 0.5              // of the least warmth, that a server may have gained before it is news
 )
 
 func (m *Module) startCold(s *server, at Time) {
@@ -27,13 +31,25 @@
 }
 
 // startOf is when a server that a list names with another start has begun, on the module's clock. Wall clocks, by which
-// starts are dated, may be stepped. So a start that is news counts from now on: that is late by what the news took, and
-// a server that is taken for colder than it is gets less. What a process finds in its first whole list, it has to date.
+// starts are dated, may be stepped, so a start that is news was lately: no longer ago than it takes to be half as warm
+// again, which the pace of cold servers bears. What a process finds in its first whole list, it has to date, and what
+// was long ago in any case is. A process that was listed before and is back is no news.
 func (m *Module) startOf(n Server, kind ListKind, lag time.Duration) Time {
-	if kind == ListChanges || m.informed {
-		return m.now
+	dated := n.StartedAt - lag
+	if d, ok := m.departed[n.ID]; ok && d.startedAt == n.StartedAt {
+		return d.coldSince
+	}
+	age, news := m.now-dated, kind == ListChanges || m.informed
+	if news && age < clockStep+m.set.ColdTime {
+		age = min(age, m.newsAge())
 	}
-	return n.StartedAt - lag
+	return m.now - age
+}
+
+// newsAge is the time in which a server that starts no warmer than it has to gets half as warm again.
+func (m *Module) newsAge() time.Duration {
+	part := newsGrowth * m.set.ColdFrom / math.Max(1-m.set.ColdFrom, 1e-9)
+	return time.Duration(math.Min(1, part) * float64(m.set.ColdTime))
 }
 
 // warmth is the part of its capacity that a server has by now.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -399,9 +400,16 @@
 	return true
 }
 
+// HoldOff is how long a client of a class that is refused should wait, jittered; 0: clients are told no time.
+func (m *Module) HoldOff(class string) time.Duration { return m.holdOff(m.classOf(class)) }
+
+func (m *Module) holdOff(c *class) time.Duration {
+	return min(m.jitter(time.Duration(holdPart*float64(c.Aim))), m.set.MaxHoldOff)
+}
+
 // finish gives the final answer where no server did, a refusal if it may, with a jittered hold-off.
 func (m *Module) finish(r *request) {
-	wait := min(m.jitter(time.Duration(holdPart*float64(r.class.Aim))), m.set.MaxHoldOff)
+	wait := m.holdOff(r.class)
 	if m.mayRefuse(r) {
 		m.do(Refuse{ID: r.id, HoldOff: wait})
 	} else {
@@ -709,7 +717,9 @@
 			continue
 		}
 		delete(m.known, id) // its attempts still know it; ids change for months
+		m.departed[id] = departure{s.Server.StartedAt, s.coldSince, m.now}
 	}
+	maps.DeleteFunc(m.departed, func(_ ServerID, d departure) bool { return m.now-d.at > departedFor })
 	slices.SortFunc(m.list, func(a, b *server) int { return cmp.Compare(a.order, b.order) })
 	// Nodes of one ring start evenly spread over it. Were there but one ring, nodes that share a server would
 	// share most others: a crowd there, or the load of servers lost, could only move on to the next few.
--- a/decide/state.go
+++ b/decide/state.go
@@ -46,6 +46,12 @@
 	quietUntil               Time // no log line about it until then
 }
 
+// departure is what is kept of a server that has left the list. It may be back.
+type departure struct {
+	startedAt, coldSince Time
+	at                   Time // when it left
+}
+
 // group holds the classes of one placement: thresholds and shedding are judged over the servers open to it.
 type group struct {
 	zones, kinds        []string  // that are open to it; nil: all
@@ -113,6 +119,7 @@
 	order            []*class
 	tenants          map[string]*tenant
 	known            map[ServerID]*server
+	departed         map[ServerID]departure // those that have left the list of late
 	groups           []*group
 	kinds            map[string]*kind
 	list             []*server  // those not gone, by their place on the ring, from this node's on
@@ -137,7 +144,7 @@
 // New makes the module of a node that has just started.
 func New(s Settings, seed int64) *Module {
 	m := &Module{set: s, rng: uint64(seed)*2 + 1, budget: retryBurst, classes: map[string]*class{},
-		tenants: map[string]*tenant{}, known: map[ServerID]*server{}, kinds: map[string]*kind{}, requests: map[RequestID]*request{}}
+		tenants: map[string]*tenant{}, known: map[ServerID]*server{}, departed: map[ServerID]departure{}, kinds: map[string]*kind{}, requests: map[RequestID]*request{}}
 	m.set.Nodes = max(1, s.Nodes)
 	m.running, m.tight = 1, math.Inf(1)
 	m.sharers = float64(m.set.Nodes)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -215,7 +215,7 @@
 	}
 	if most := n.cfg.Settings.MaxOpen; most > 0 && len(n.requests) >= most {
 		r.done = true
-		r.answer <- answer{status: http.StatusServiceUnavailable}
+		r.answer <- answer{status: http.StatusServiceUnavailable, holdOff: n.module.HoldOff(e.Class)}
 		return
 	}
 	if !n.ends.IsZero() && n.ends.Before(r.deadline) {
@@ -229,11 +229,11 @@
 		n.post(func() {
 			if !r.done {
 				r.end() // from here on nothing is sent
-				status := http.StatusGatewayTimeout
+				last := answer{status: http.StatusGatewayTimeout}
 				if !r.out.sent.Load() {
-					status = http.StatusServiceUnavailable
+					last = answer{status: http.StatusServiceUnavailable, holdOff: n.module.HoldOff(e.Class)}
 				}
-				n.finish(r.id, answer{status: status})
+				n.finish(r.id, last)
 				for _, cancel := range r.attempts {
 					cancel() // a module that lost the request does not call them off
 				}
