Outlast wants of descriptors and taken addresses as the program starts

System calls may fail for a moment, and a process that can't listen or read its configuration just then refused to start. SIGTERM before the listener is open ends the program with status 0.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -54,11 +53,14 @@
 	}
 	// The collector works harder well before the machine's limit kills the node.
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
+	ln, err := node.Listen(ctx, cfg.Listen, log)
+	switch {
+	case ctx.Err() != nil:
+		return nil // told to stop before it served
+	case err != nil:
 		return err
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
 	n := node.New(cfg, log)
 	go func() {
 		for range reload {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"indigotack/decide"
 	"indigotack/internal/discovery"
@@ -41,7 +42,7 @@
 
 // LoadConfig reads the configuration file at path.
 func LoadConfig(path string) (Config, error) {
-	raw, err := os.ReadFile(path)
+	raw, err := readPatiently(func() ([]byte, error) { return os.ReadFile(path) })
 	if err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
 	}
@@ -52,6 +53,22 @@
 	return c, nil
 }
 
+const (
+	readTries = 20                    // at a file, while this machine is short of descriptors or memory
+	readWait  = 50 * time.Millisecond // between them
+)
+
+// readPatiently outlasts a want of this machine.
+func readPatiently(read func() ([]byte, error)) ([]byte, error) {
+	for tries := 1; ; tries++ {
+		raw, err := read()
+		if err == nil || tries == readTries || !local(err) {
+			return raw, err
+		}
+		time.Sleep(readWait)
+	}
+}
+
 // ParseConfig reads a configuration, as JSON.
 func ParseConfig(raw []byte) (Config, error) {
 	var in struct {
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -69,3 +70,22 @@
 		}
 	}
 }
+
+// TestConfigOutlastsAWant of descriptors; a file that is missing is told at once.
+func TestConfigOutlastsAWant(t *testing.T) {
+	for _, c := range []struct {
+		err   error
+		calls int
+	}{{syscall.ENFILE, 4}, {syscall.EMFILE, 4}, {syscall.ENOENT, 1}} {
+		calls := 0
+		raw, err := readPatiently(func() ([]byte, error) {
+			if calls++; calls <= 3 {
+				return nil, &os.PathError{Op: "open", Path: "config.json", Err: c.err}
+			}
+			return []byte("{}"), nil
+		})
+		if calls != c.calls || (err == nil) != (c.calls == 4) || err == nil && string(raw) != "{}" {
+			t.Errorf("%v: %q, %v after %d calls, want %d", c.err, raw, err, calls, c.calls)
+		}
+	}
+}
