--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -33,8 +34,12 @@
 
 	mu       sync.Mutex
 	changed  sync.Cond          // pumping ends
-	deadline time.Time          // as set for reads
+	made     time.Time          // when it was accepted
+	deadline time.Time          // as net/http sets it for reads
+	wholeBy  time.Time          // in its place, when the request that has begun to come is to be whole; zero: none has begun
+	spoken   bool               // it has carried a request
 	came     time.Time          // when bytes have last come
+	queued   time.Time          // what the first request is read from may have come then already; zero: it did not
 	heard    bool               // bytes have come since it last came to rest
 	early    bool               // a byte of the next request has come while one was open
 	retired  bool               // nothing is to be read from it any more
@@ -45,9 +50,13 @@
 	leave    context.CancelFunc // ends the contexts of its requests
 }
 
-func newLimitedConn(c net.Conn, of *limited) *limitedConn {
-	lc := &limitedConn{Conn: c, of: of, leave: func() {}}
+// newLimitedConn takes a connection that may have waited since then to be accepted.
+func newLimitedConn(c net.Conn, of *limited, since time.Time) *limitedConn {
+	lc := &limitedConn{Conn: c, of: of, made: time.Now(), leave: func() {}}
 	lc.changed.L = &lc.mu
+	if !silent(c) {
+		lc.queued = since
+	}
 	return lc
 }
 
@@ -81,8 +90,8 @@
 	if n == 0 {
 		return n, err
 	}
-	c.came = time.Now()
-	if c.heard = true; c.retired { // it came as the connection was given up, and is owed an answer
+	c.came = cmp.Or(c.queued, time.Now())
+	if c.begin(); c.retired { // it came as the connection was given up, and is owed an answer
 		c.retired = false
 		c.setDeadline()
 	}
@@ -90,6 +99,28 @@
 	return n, err
 }
 
+// begin notes that a part of a request has come. From its first byte on it has
+// a time of its own, as net/http's time-outs are those of a connection at rest
+// up to its fourth byte. The caller holds c.mu.
+func (c *limitedConn) begin() {
+	if !c.heard && !c.open {
+		c.wholeBy = time.Now().Add(readTime)
+		if first := c.made.Add(firstTime); !c.spoken && first.Before(c.wholeBy) {
+			c.wholeBy = first
+		}
+		c.setDeadline()
+	}
+	c.heard = true
+}
+
+// endReading ends the time for the request that is being read.
+func (c *limitedConn) endReading(by time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wholeBy = by
+	c.setDeadline()
+}
+
 // note sees to it that what comes behind a single byte is read ahead. The
 // caller holds c.mu.
 func (c *limitedConn) note(wanted int) {
@@ -135,7 +166,7 @@
 func (c *limitedConn) left(ctx context.Context) bool {
 	for waited := time.Duration(0); ; waited += aheadStep {
 		n, err := peek(c.Conn)
-		if n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET) {
+		if lost(n, err) {
 			return true
 		}
 		if n < 1 || waited >= aheadTime || !sleep(ctx, aheadStep) {
@@ -144,11 +175,26 @@
 	}
 }
 
-// setOpen tells whether a request waits for its answer.
+// lost tells whether a peek has found the connection's end.
+func lost(n int, err error) bool {
+	if err == nil {
+		return n == 0
+	}
+	for _, errno := range []syscall.Errno{syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH,
+		syscall.EPIPE, syscall.ECONNABORTED, syscall.ENOTCONN} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
+// setOpen tells whether a request, which has come whole, waits for its answer.
 func (c *limitedConn) setOpen(open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open = open
+	c.open, c.queued, c.wholeBy = open, time.Time{}, time.Time{}
+	c.setDeadline()
 	c.judge()
 }
 
@@ -192,6 +238,8 @@
 		return nil // Read sets it as it takes over
 	case c.retired:
 		return c.Conn.SetReadDeadline(longAgo)
+	case !c.wholeBy.IsZero() && (c.deadline.IsZero() || c.deadline.After(c.made)): // an earlier one is an order to stop
+		return c.Conn.SetReadDeadline(c.wholeBy)
 	}
 	return c.Conn.SetReadDeadline(c.deadline)
 }
@@ -212,7 +260,10 @@
 func (c *limitedConn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heard = c.early || len(c.ahead) > 0
+	c.heard, c.spoken, c.queued, c.wholeBy = false, true, time.Time{}, time.Time{}
+	if c.early || len(c.ahead) > 0 {
+		c.begin()
+	}
 }
 
 // retire has the connection closed if nothing of a request has come on it: by
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -25,14 +25,16 @@
 	answerSlack = 300 * time.Millisecond  // before SIGKILL all answers are given: a busy node writes for a while
 	closeSlack  = 150 * time.Millisecond  // before SIGKILL the node ends by itself
 	comeTime    = 450 * time.Millisecond  // after SIGTERM new connections still come for 0.2 to 0.4 s
+	acceptTime  = 600 * time.Millisecond  // and a node that is held up for 0.15 s just then still takes them
 	finishTime  = time.Second             // the last requests get so long, where there is time
 	lingerStep  = 50 * time.Millisecond   // between looks at whether all clients have gone
 	retireStep  = 10 * time.Millisecond   // the same when they are no longer waited for
-	headTime    = 2 * time.Second         // for a request's head
-	readTime    = 2500 * time.Millisecond // for a whole request
+	silentTime  = 2 * time.Second         // for a new connection to begin with a request
+	readTime    = 2500 * time.Millisecond // for a whole request, from its first byte
+	firstTime   = 2800 * time.Millisecond // for the first request, from the connection's accept
 	writeTime   = 5 * time.Second         // for an answer
 	dregsTime   = 200 * time.Millisecond  // for what is left of a request that is turned away
-	idleTime    = 4 * time.Second         // for a connection between requests
+	idleTime    = 2800 * time.Millisecond // for a connection between requests, as a part of the next may be in net/http's buffer
 	maxIDLength = 128
 	maxPatience = time.Hour
 )
@@ -53,6 +55,7 @@
 // stages tells when what happens after the order to stop, counted from it.
 type stages struct {
 	leave    time.Duration // clients are asked to close
+	accepted time.Duration // new connections are taken for so long at least
 	answered time.Duration // all that was taken has its answer
 	closed   time.Duration // what connections are left are closed
 }
@@ -64,6 +67,7 @@
 	kill := min(longest, longestHeld) + killSlack
 	e := stages{answered: kill - answerSlack, closed: kill - closeSlack}
 	e.leave = min(max(comeTime, e.answered-finishTime), e.answered)
+	e.accepted = min(acceptTime, e.closed)
 	return e
 }
 
@@ -91,9 +95,10 @@
 // no other node just now. Then it asks each client to close and finishes what
 // is open.
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
-	srv := &http.Server{Handler: f, ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime,
+	srv := &http.Server{Handler: f, ReadHeaderTimeout: silentTime, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.node.log.Handler(), slog.LevelDebug)}
 	f.conns = limitListener(ln, f.most)
+	f.conns.log = f.node.log
 	srv.ConnState = f.conns.note
 	srv.ConnContext = f.conns.context
 	failed := make(chan error, 1)
@@ -108,12 +113,19 @@
 	f.node.post(func() { f.node.answerBy(began.Add(f.stages.answered)) })
 	f.linger(f.conns.open)
 	f.leaving.Store(true)
-	ln.Close()
-	<-failed // until Serve has let go of the listener, Close would close it again and fail
-	for f.conns.open() > 0 && time.Since(began) < f.stages.closed {
-		f.conns.retire(time.Now())
-		time.Sleep(retireStep)
+	retire := func(until time.Duration, goOn func() bool) {
+		for time.Since(began) < until && goOn() {
+			f.conns.retire(time.Now())
+			time.Sleep(retireStep)
+		}
 	}
+	some := func() bool { return f.conns.open() > 0 }
+	retire(f.stages.accepted, func() bool { return true })
+	ln.Close()
+	retire(f.stages.closed, some)
+	f.conns.stop() // the last to have been accepted may wait for its place up to here
+	<-failed       // until Serve has let go of the listener, Close would close it again and fail
+	retire(f.stages.closed, some)
 	// All requests have been answered: what is left are connections on which
 	// none has come whole.
 	return srv.Close()
@@ -137,7 +149,7 @@
 	}
 	req, event, status, err := f.read(w, r)
 	if err != nil {
-		f.turnAway(w, err, status)
+		f.turnAway(w, r, err, status)
 		return
 	}
 	if a, ok := f.answer(r.Context(), req, event); ok {
@@ -175,9 +187,11 @@
 // turnAway answers a request that can't be read and ends its connection. What
 // follows on it may belong to the body of this request as the client sees it,
 // so none of it is taken for a request; and the answer waits for no body.
-func (f *frontend) turnAway(w http.ResponseWriter, err error, status int) {
+func (f *frontend) turnAway(w http.ResponseWriter, r *http.Request, err error, status int) {
 	w.Header().Set("Connection", "close")
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(dregsTime)) // fails only on a closed connection
+	if c, ok := r.Context().Value(connKey{}).(*limitedConn); ok {
+		c.endReading(time.Now().Add(dregsTime))
+	}
 	http.Error(w, err.Error(), status)
 }
 
