--- a/internal/node/gate_test.go
+++ b/internal/node/gate_test.go
@@ -550,3 +550,55 @@
 		}
 	}
 }
+
+// lateEnds accepts connections of which a reader learns the end only when it is released, as in a process that is held up
+// between the end and its next step.
+type lateEnds struct {
+	net.Listener
+	release chan struct{}
+}
+
+type lateEnd struct {
+	*net.TCPConn
+	release chan struct{}
+}
+
+func (l lateEnds) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return lateEnd{c.(*net.TCPConn), l.release}, nil
+}
+
+func (c lateEnd) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if err != nil {
+		<-c.release
+	}
+	return n, err
+}
+
+// TestLeftIsSeenAtTheLastGate: a client leaves while a connection for its request comes up, and nobody has read so yet.
+// The attempt must not begin.
+func TestLeftIsSeenAtTheLastGate(t *testing.T) {
+	for name, leave := range map[string]func(c raw){
+		"closed": func(c raw) { c.Close() },
+		"reset":  func(c raw) { c.SetLinger(0); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, got := listening(t)
+			ln := lateEnds{listen(t), make(chan struct{})}
+			defer close(ln.release)
+			n := startNodeOn(t, ln, func(*Config) {}, address)
+			begun, up := slowDials(n.backends)
+			c := n.dial(t)
+			c.ask(t, "saldo", "q", "60")
+			wait(t, begun, "the connection to begin")
+			leave(c)
+			held()
+			close(up)
+			n.mustNotSend(t, got, "q")
+		})
+	}
+}
