Look whether the client has left at the last gate before an attempt

What net/http's reader has not learnt yet stands in the socket: a look at it before the first byte of an attempt costs one system call.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -286,6 +286,7 @@
 	header http.Header // end to end ones
 	body   []byte
 	sent   atomic.Bool // an attempt may have begun to write it
+	left   func() bool // whether its client has left; nil: it is not known
 }
 
 // message is a request as it is written to a server, but for the time that it
@@ -361,9 +362,10 @@
 		return result{code: unsent(dialling, err)}
 	}
 	o.sent.Store(true) // before the look at open, or a refusal could cross a first byte
-	// The last gate: dialling may have taken a while, also of the time to tell.
+	// The last gate: dialling may have taken a while, also of the time to tell,
+	// and this process may have been held up.
 	left := time.Until(end)
-	if open.Err() != nil || ctx.Err() != nil || left < leastTold || !c.wanted() {
+	if open.Err() != nil || ctx.Err() != nil || left < leastTold || !c.wanted() || o.left != nil && o.left() {
 		c.release()
 		return result{code: decide.Moot}
 	}
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -175,6 +175,10 @@
 	}
 }
 
+// hasLeft tells whether the client's end is the next to be read, which nobody
+// may have done yet.
+func (c *limitedConn) hasLeft() bool { return lost(peek(c.Conn)) }
+
 // lost tells whether a peek has found the connection's end.
 func lost(n int, err error) bool {
 	if err == nil {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -170,6 +170,7 @@
 		if c.left(ctx) {
 			return answer{}, false
 		}
+		req.out.left = c.hasLeft
 	}
 	req.open, req.end = context.WithCancel(ctx)
 	defer req.end()
