Go on where nobody reads the log any more

SIGPIPE is ignored: a write to the log that fails costs its line alone. The test failed before and passes, with those of signals, under the race detector.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -43,6 +43,7 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to end
 	// Caught from here to the end: by itself the signal would end the process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
