--- a/cmd/indigotack/soak_test.go
+++ b/cmd/indigotack/soak_test.go
@@ -64,6 +64,9 @@
 	crowd   bool
 	holdUps bool // the process is stopped for moments
 	leaving int  // one in so many clients leaves early
+	silent  bool // discovery is, for a while, as a server begins to drain
+	stale   bool // the node starts with a list that does not know of a drain
+	rude    bool // bad clients come
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -73,6 +76,7 @@
 	changed  chan struct{} // closed by the next change of the list
 	broken   []string
 	counts   map[string]int
+	back     time.Time // discovery answers from then on
 	ordered  time.Time // SIGTERM; zero: not yet
 	moved    time.Time // the last SIGHUP
 	over     bool
@@ -135,11 +139,41 @@
 			c.(*net.TCPConn).SetLinger(0)
 			return
 		default:
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+			if !s.answer(c, id) {
+				return
+			}
 		}
 	}
 }
 
+// answer sends a good answer in one of its forms, in pieces, and tells whether the connection goes on.
+func (s *soak) answer(c net.Conn, id string) bool {
+	text, goOn := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id), true
+	switch s.draw(8) {
+	case 0:
+		text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		for _, b := range id {
+			text += fmt.Sprintf("1;x=y\r\n%c\r\n", b)
+		}
+		text += "0\r\nX-Trailer: t\r\n\r\n"
+	case 1:
+		text, goOn = "HTTP/1.1 200 OK\r\n\r\n"+id, false
+	case 2:
+		text = "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + text
+	case 3:
+		text += text // a second copy
+	case 4:
+		text, goOn = strings.Replace(text, "\r\n", "\r\nConnection: close\r\n", 1), false
+	}
+	if at := s.draw(len(text)); s.draw(4) == 0 {
+		io.WriteString(c, text[:at])
+		time.Sleep(time.Duration(s.draw(10)) * time.Millisecond)
+		text = text[at:]
+	}
+	_, err := io.WriteString(c, text)
+	return goOn && err == nil
+}
+
 // arrive holds an attempt against the rules.
 func (s *soak) arrive(id string, a soakArrival) {
 	s.mu.Lock()
@@ -158,6 +192,9 @@
 	}
 	if server := s.servers[a.server]; !server.drained.IsZero() {
 		told := server.drained
+		if s.back.After(told) {
+			told = s.back
+		}
 		if s.asked {
 			told = told.Add(soakAsked)
 		}
@@ -198,16 +235,21 @@
 		}
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	fmt.Fprint(w, s.list())
+	list, silent := s.list(false), time.Now().Before(s.back)
+	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
+	io.WriteString(w, list)
 }
 
-// list is the list as it stands. The caller holds s.mu.
-func (s *soak) list() string {
+// list is the list as it stands, or as it stood before any drain. The caller holds s.mu.
+func (s *soak) list(old bool) string {
 	var entries []string
 	for _, server := range s.servers {
 		status := "ready"
-		if !server.drained.IsZero() {
+		if !server.drained.IsZero() && !old {
 			status = "draining"
 		}
 		entries = append(entries, fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"m","group":1,"status":%q,"weight":1,"since_ms":0}`,
@@ -440,7 +482,7 @@
 		"may_duplicate":true,"retry_after":true,"max_retry_after_ns":500000000,"conn_idle_ns":60000000000,"most_held":20000},
 		"invariants":{"drain_grace_ns":%d,"ask_within_ns":10000000000,"answer_slack_ns":20000000,"cold_from":0.12,"cold_ns":23000000000,
 		"overload_factor":4,"tip_after_ns":1000000000},"classes":[%s]}}`,
-		listen, discovery, s.seed, s.list(), mode, soakGrace, strings.Join(classes, ","))
+		listen, discovery, s.seed, s.list(true), mode, soakGrace, strings.Join(classes, ","))
 }
 
 // play has a node live from its start to the earliest SIGKILL.
@@ -454,6 +496,9 @@
 	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "GW_CONFIG=")
 	var said strings.Builder
 	cmd.Stderr = &said
+	if s.stale {
+		s.drain(0)
+	}
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -475,6 +520,15 @@
 	if s.holdUps {
 		go s.holdUp(cmd)
 	}
+	if s.rude {
+		for i := range 4 {
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				s.misbehave(listen, i)
+			}()
+		}
+	}
 	s.disturb(t, cmd, path, listen)
 	kill := min(s.longest, 3*time.Second) + 700*time.Millisecond
 	select {
@@ -492,6 +546,58 @@
 	clients.Wait()
 }
 
+// hidden is a request that no client sends: it is part of another one's body.
+const hidden = "GET /api/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: hidden\r\nX-Class: retryable\r\nX-Deadline: 1\r\n\r\n"
+
+// rudeTexts are what bad clients send, and stay. The first part of each is no request that could be served.
+func rudeTexts(id string) []string {
+	head := "POST /api/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Class: fragile\r\nX-Deadline: 1\r\n"
+	return []string{
+		"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 noise\r\n\r\n",
+		"GET /api/x HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("x", 60<<10),
+		head + fmt.Sprintf("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", hidden),
+		head + fmt.Sprintf("Content-Length: %d\r\nContent-Length: 0\r\n\r\n%s", len(hidden), hidden),
+		head + "Content-Length: -1\r\n\r\n" + hidden,
+		head + "Content-Length: 99999999999999999999\r\n\r\n",
+		head + fmt.Sprintf("Content-Length: %d\r\n\r\nhalf", 60<<20),
+		strings.Replace(head, "X-Deadline: 1", "X-Deadline: soon", 1) + "Content-Length: 4\r\n\r\nbody",
+		strings.Replace(head, "fragile", "nobody", 1) + "Content-Length: 4\r\n\r\nbody",
+		strings.Replace(head, "X-Request-Id", "X-Nothing", 1) + "Content-Length: 4\r\n\r\nbody",
+		head[:len(head)/2],
+		"G",
+		"",
+	}
+}
+
+// misbehave sends what no client should, and is owed an error or a close within 3 s.
+func (s *soak) misbehave(address string, number int) {
+	const owed = 3 * time.Second
+	for k := 0; ; k++ {
+		goOn := true
+		s.locked(func() { goOn = !s.over && s.ordered.IsZero() })
+		if !goOn {
+			return
+		}
+		texts := rudeTexts(fmt.Sprintf("rude-%d-%d", number, k))
+		i := s.draw(len(texts))
+		began := time.Now()
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		c.SetDeadline(began.Add(owed + soakHoldUp))
+		io.WriteString(c, texts[i]) // may be cut short
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		s.locked(func() {
+			s.counts["rude"]++
+			if err == nil && resp.StatusCode < 400 || errors.Is(err, os.ErrDeadlineExceeded) && !s.over {
+				s.fault("bad client %d: %v, %v after %v", i, resp, err, time.Since(began))
+			}
+		})
+		c.Close()
+	}
+}
+
 // holdUp stops the process for moments until the run's end.
 func (s *soak) holdUp(cmd *exec.Cmd) {
 	for over := false; !over; {
@@ -525,6 +631,10 @@
 		send(syscall.SIGHUP)
 		time.Sleep(time.Duration(s.draw(300)) * time.Millisecond)
 	}
+	if s.silent {
+		s.locked(func() { s.back = time.Now().Add(time.Duration(300+s.rng.Intn(1200)) * time.Millisecond) })
+		time.Sleep(time.Duration(s.draw(300)) * time.Millisecond)
+	}
 	s.drain(s.draw(len(s.servers)))
 	if s.crowd {
 		for range 300 {
@@ -561,7 +671,7 @@
 		seed := first + i
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			s := &soak{seed: seed, asked: seed%4 == 3, longest: longest[seed%3], crowd: seed%2 == 0,
-				holdUps: seed%5 < 2, leaving: []int{20, 3}[seed%2], rng: rand.New(rand.NewSource(seed)),
+				holdUps: seed%5 < 2, silent: seed%5 > 2, stale: seed%3 == 1, rude: seed%4 < 2, leaving: []int{20, 3}[seed%2], rng: rand.New(rand.NewSource(seed)),
 				requests: map[string]*soakRequest{}, version: 1, changed: make(chan struct{}), counts: map[string]int{}}
 			s.play(t)
 			s.locked(func() {
