Let sends saved up for a cold server last no longer than an overload takes

Nodes with few requests each saved a send up and spent them together when a storm began, and one answer let a node send 0.7 a second more. A token now lasts OverloadTime from when it is whole where it takes longer to come by, so nodes take turns, and the rate that answers earn leaves one out.

--- a/decide/cold.go
+++ b/decide/cold.go
@@ -69,7 +69,24 @@
 		return s.cold
 	}
 	part := warmth * math.Max(m.fleetRate, coldStart/m.sharers)
-	rate := coldGrowth * m.set.OverloadFactor * math.Max(part, s.rate*decay(m.now-s.rateAt, rateTau))
-	s.tokens, s.tokensAt = math.Min(1+1/m.sharers, s.tokens+rate*(m.now-s.tokensAt).Seconds()), m.now
+	earned := s.rate*decay(m.now-s.rateAt, rateTau) - 1/rateTau // one answer is chance
+	rate := coldGrowth * m.set.OverloadFactor * math.Max(part, earned)
+	s.tokens = m.lastingTokens(s.tokens+rate*(m.now-s.tokensAt).Seconds(), rate)
+	s.tokensAt = m.now
 	return s.tokens < 1
 }
+
+// lastingTokens is what holds of a node's tokens for a cold server, where it is given so many a second. It saves up hardly
+// more than one; and where that takes longer than the time in which an overload tells, it lasts for that time only, from
+// when it is whole: the nodes take turns. What they all hold is then no more than what they are given in that time.
+func (m *Module) lastingTokens(tokens, rate float64) float64 {
+	lasts := rate * m.set.OverloadTime.Seconds()
+	if lasts >= 1 || tokens < 1 {
+		return math.Min(1+1/m.sharers, tokens)
+	}
+	next := math.Mod(tokens, 1) // the part of the next one that has come since
+	if next > lasts {
+		return next
+	}
+	return 1 + next
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -3,6 +3,7 @@
 // The state that decide.go keeps, and its source of random numbers. Nothing is decided here.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -146,6 +147,7 @@
 	m := &Module{set: s, rng: uint64(seed)*2 + 1, budget: retryBurst, classes: map[string]*class{},
 		tenants: map[string]*tenant{}, known: map[ServerID]*server{}, departed: map[ServerID]departure{}, kinds: map[string]*kind{}, requests: map[RequestID]*request{}}
 	m.set.Nodes = max(1, s.Nodes)
+	m.set.OverloadTime = cmp.Or(s.OverloadTime, time.Second)
 	m.running, m.tight = 1, math.Inf(1)
 	m.sharers = float64(m.set.Nodes)
 	if !s.HoldOffs {
