Have the soak's judge allow for its own stalls, and leave clients earlier

Stamps of the judge are late by what its process is kept from running, which it now measures; a request counts as sent when its write returns. A server that turns requests away late has further attempts begin behind clients that have left.

--- a/cmd/indigotack/soak_test.go
+++ b/cmd/indigotack/soak_test.go
@@ -36,7 +36,7 @@
 type soakRequest struct {
 	effect   string
 	deadline time.Duration
-	sent     time.Time // its last byte
+	sent     time.Time // its last byte has been written; zero: not yet
 	left     time.Time // when its client closed its connection; zero: it waits
 	arrivals []soakArrival
 }
@@ -80,6 +80,35 @@
 	ordered  time.Time // SIGTERM; zero: not yet
 	moved    time.Time // the last SIGHUP
 	over     bool
+	ticked   time.Time     // by watch
+	stalled  time.Duration // the longest time of late in which this process, the judge, did not run
+}
+
+// watch sees how long this process is kept from running: its own stamps are late by that.
+func (s *soak) watch(done <-chan struct{}) {
+	const step, forget = 5 * time.Millisecond, 0.995 // halves the longest in 0.7 s
+	for {
+		select {
+		case <-time.After(step):
+		case <-done:
+			return
+		}
+		s.locked(func() {
+			now := time.Now()
+			if !s.ticked.IsZero() {
+				s.stalled = max(now.Sub(s.ticked)-step, time.Duration(forget*float64(s.stalled)))
+			}
+			s.ticked = now
+		})
+	}
+}
+
+// stall is by how much the judge's stamps may be late. The caller holds s.mu.
+func (s *soak) stall() time.Duration {
+	if s.ticked.IsZero() {
+		return 0
+	}
+	return max(s.stalled, time.Since(s.ticked))
 }
 
 func (s *soak) fault(format string, args ...any) {
@@ -111,7 +140,7 @@
 			return
 		}
 		c.SetReadDeadline(time.Time{})
-		a := soakArrival{server: i, began: time.Now(), turnedAway: server.way == "full" && s.draw(3) > 0}
+		a := soakArrival{server: i, began: time.Now(), turnedAway: server.way == "full" && s.draw(3) > 0 || server.way == "full late"}
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -127,6 +156,9 @@
 		id := req.Header.Get("X-Request-Id")
 		s.arrive(id, a)
 		time.Sleep(time.Duration(s.draw(20)) * time.Millisecond)
+		if server.way == "full late" { // the next attempt begins long behind a client that has left meanwhile
+			time.Sleep(time.Duration(150+s.draw(150)) * time.Millisecond)
+		}
 		switch {
 		case server.way == "hangs":
 			io.Copy(io.Discard, r) // until the node gives up
@@ -184,10 +216,14 @@
 		s.fault("request %q, which no client sent, came to %s", id, s.servers[a.server].name)
 		return
 	}
-	if left := q.deadline - a.ended.Sub(q.sent); a.told > left+soakSlack {
+	left := q.deadline
+	if !q.sent.IsZero() {
+		left -= a.ended.Sub(q.sent)
+	}
+	if a.told > left+soakSlack+s.stall() {
 		s.fault("%s: told %v where %v is left", id, a.told, left)
 	}
-	if !q.left.IsZero() && a.began.Sub(q.left) > soakGone {
+	if !q.left.IsZero() && a.began.Sub(q.left) > soakGone+s.stall() {
 		s.fault("%s: an attempt begins %v after its client has left", id, a.began.Sub(q.left))
 	}
 	if server := s.servers[a.server]; !server.drained.IsZero() {
@@ -201,7 +237,7 @@
 		if m := s.moved.Add(soakMoved); s.moved.Before(told) && m.After(told) {
 			told = m
 		}
-		if late := a.began.Sub(told); late > soakGrace+soakGraceTol {
+		if late := a.began.Sub(told); late > soakGrace+soakGraceTol+s.stall() {
 			s.fault("%s: sent to %s %v after it was told as draining", id, server.name, late)
 		}
 	}
@@ -321,7 +357,7 @@
 	effects := []string{"retryable", "fragile", "dedup"}
 	effect := effects[c.draw(len(effects))]
 	deadline := c.longest * time.Duration(40+c.draw(61)) / 100
-	q := &soakRequest{effect: effect, deadline: deadline}
+	q, began := &soakRequest{effect: effect, deadline: deadline}, time.Now()
 	for try := 0; ; try++ {
 		if c.conn == nil {
 			if err := c.connect(); err != nil {
@@ -340,7 +376,7 @@
 		c.locked(func() {
 			if lost = len(q.arrivals) > 0 || try > 0; lost && !c.over {
 				c.fault("%s (%s): no answer after %v of %v (try %d, sent on %d times): %v; %v after SIGTERM", id, effect,
-					time.Since(q.sent), deadline, try, len(q.arrivals), err, c.sinceOrdered())
+					time.Since(began), deadline, try, len(q.arrivals), err, c.sinceOrdered())
 			}
 		})
 		if lost {
@@ -389,14 +425,15 @@
 		text = text[half:]
 	}
 	c.locked(func() {
-		c.requests[id], q.sent = q, time.Now()
+		c.requests[id], q.sent = q, time.Time{}
 		c.counts["requests"]++
 	})
 	if _, err := io.WriteString(c.conn, text); err != nil {
 		return false, err
 	}
+	c.locked(func() { q.sent = time.Now() })
 	if c.draw(c.leaving) == 0 {
-		time.Sleep(time.Duration(c.draw(int(q.deadline))))
+		time.Sleep(time.Duration(c.draw(int(q.deadline / 4))))
 		c.locked(func() { q.left = time.Now() })
 		return true, errors.New("left")
 	}
@@ -487,7 +524,10 @@
 
 // play has a node live from its start to the earliest SIGKILL.
 func (s *soak) play(t *testing.T) {
-	for i, way := range []string{"answers", "answers", "answers", "hangs", "full", "fails", "resets", "closes early"} {
+	done := make(chan struct{})
+	defer close(done)
+	go s.watch(done)
+	for i, way := range []string{"answers", "answers", "answers", "hangs", "full", "full late", "fails", "resets", "closes early"} {
 		s.servers = append(s.servers, &soakServer{name: fmt.Sprint("s-", i), way: way})
 		s.servers[i].address = s.listenAs(t, func(c net.Conn) { s.serveBackend(i, c) })
 	}
@@ -675,7 +715,7 @@
 				requests: map[string]*soakRequest{}, version: 1, changed: make(chan struct{}), counts: map[string]int{}}
 			s.play(t)
 			s.locked(func() {
-				t.Log(s.counts)
+				t.Log(s.counts, "stalled", s.stalled)
 				for i, line := range s.broken {
 					if t.Error(line); i == 20 {
 						t.Fatalf("and %d more", len(s.broken)-i)
