--- a/internal/node/clientconn_test.go
+++ b/internal/node/clientconn_test.go
@@ -108,6 +108,28 @@
 	}
 }
 
+// TestManyAtOnce: a client sends hundreds of requests at once, and waits for all their answers.
+func TestManyAtOnce(t *testing.T) {
+	const count = 500 // some 45 KiB
+	server, _ := answering(t)
+	n := startNode(t, server)
+	c := n.dial(t)
+	var text strings.Builder
+	for i := range count {
+		text.WriteString(orderText(fmt.Sprint("q", i), "20"))
+	}
+	go io.WriteString(c, text.String())
+	for i := range count {
+		resp, err := http.ReadResponse(c.read, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		if io.Copy(io.Discard, resp.Body); resp.StatusCode != http.StatusOK {
+			t.Fatalf("request %d is answered %d", i, resp.StatusCode)
+		}
+	}
+}
+
 // connPair is a node's end and a client's end of one connection.
 func connPair(t *testing.T) (*limitedConn, net.Conn) {
 	t.Helper()
