Count a body without its framing, and serve requests that are sent at once

The limit of an answer took in the framing of its chunks; head and body have limits of their own now, the latter with room for chunks of one byte. Up to 128 KiB behind an open request are read ahead (16 KiB before), 4 MB for all connections together, beyond which it is 16 KiB again. Before: 502 for an answer of 64 KiB in short chunks, and for the first of 500 requests at once; after: all served, race detector.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -29,6 +29,10 @@
 	maxHead  = 16 << 10 // of an answer
 	maxInfos = 8        // 1xx answers ahead of the real one
 
+	// The framing of a body: at worst each byte is a chunk, "1", its line's end,
+	// itself and an end. Behind them come trailers.
+	maxFramed = 6*maxBody + maxHead
+
 	leastTold = time.Millisecond // to a server as the time left, and the unit: with less nothing is sent
 	IdlePart  = 0.75             // of the settings' idle time: the server must never be the first to close
 
@@ -380,7 +384,7 @@
 		return result{code: ending(ctx, err)} // a last byte that left with an error may have come
 	}
 	sent := time.Now()
-	c.budget.N = maxHead + maxBody + 1 // the last byte is one too many
+	c.budget.N = maxHead
 	res, clean, err := c.receive(o.method)
 	res.sent = sent
 	if err != nil {
@@ -443,6 +447,7 @@
 			return res, false, fmt.Errorf("unexpected answer %s", resp.Status)
 		}
 	}
+	c.budget.N += maxFramed + 1 // the last byte is one too many
 	// The body is never closed: that would read it to an end that may not come.
 	res.report = parseLoad(resp.Header.Get("X-Load"))
 	if resp.ContentLength > maxBody {
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -11,9 +11,14 @@
 	"time"
 )
 
-// aheadMost bounds what is read ahead of a connection: clients send one request
-// at a time, so what comes behind an open one is a fault of theirs.
-const aheadMost = 16 << 10
+// What is read ahead of a connection is bounded, and so is what is read ahead
+// of all: a client that sends many requests at once is served them all, one
+// after the other, and one that goes on sending behind an open one is at fault.
+const (
+	aheadMost   = 128 << 10 // of one connection
+	aheadLeast  = 16 << 10  // the same where all have used up what they share
+	aheadShared = 4 << 20
+)
 
 // A request behind which more was sent waits until that has been read ahead.
 const (
@@ -45,7 +50,8 @@
 	retired  bool               // nothing is to be read from it any more
 	open     bool               // a request has been read whole and has no answer yet
 	pumping  bool               // pump reads the connection
-	ahead    []byte             // what it has read
+	ahead    []byte             // what it has read, counted in of.ahead
+	shut     bool               // Close has been called
 	err      error              // how it has ended, if not by being stopped
 	leave    context.CancelFunc // ends the contexts of its requests
 }
@@ -77,6 +83,7 @@
 		if n == 0 {
 			return 0, c.err
 		}
+		c.of.ahead.Add(int64(-n))
 		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
 			c.ahead = nil // hundreds of connections would keep their buffers
 		}
@@ -127,18 +134,27 @@
 	if wanted > 1 {
 		return
 	}
-	if c.early = true; !c.pumping && c.err == nil && len(c.ahead) <= aheadMost {
+	if c.early = true; !c.pumping && c.err == nil && !c.aheadFull() {
 		c.pumping = true
 		c.Conn.SetReadDeadline(time.Time{})
 		go c.pump()
 	}
 }
 
+// aheadFull tells whether no more is to be read ahead. The caller holds c.mu.
+func (c *limitedConn) aheadFull() bool {
+	most := aheadMost
+	if c.of.ahead.Load() > aheadShared {
+		most = aheadLeast
+	}
+	return len(c.ahead) > most
+}
+
 // judge takes a client for gone that has sent too much behind a request that
 // is not answered. One that has its answer may have sent its next request
 // already, and that can be as long as it likes. The caller holds c.mu.
 func (c *limitedConn) judge() {
-	if c.open && len(c.ahead) > aheadMost {
+	if c.open && c.aheadFull() {
 		c.quit(errors.New("too much was sent behind a request"))
 	}
 }
@@ -209,15 +225,16 @@
 	for {
 		n, err := c.Conn.Read(chunk[:])
 		c.mu.Lock()
-		if n > 0 {
+		if n > 0 && !c.shut {
 			c.came = time.Now()
 			c.ahead = append(c.ahead, chunk[:n]...)
+			c.of.ahead.Add(int64(n))
 		}
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.quit(err)
 		}
 		c.judge()
-		if err != nil || c.err != nil || len(c.ahead) > aheadMost {
+		if err != nil || c.err != nil || c.aheadFull() {
 			c.pumping = false
 			c.changed.Broadcast()
 			c.mu.Unlock()
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,6 +24,7 @@
 	most    int
 	changed chan struct{} // has a value when a place may have become free
 	stopped chan struct{} // closed by stop
+	ahead   atomic.Int64  // bytes that are read ahead of all connections
 
 	mu     sync.Mutex
 	conns  int
@@ -207,6 +209,13 @@
 
 func (c *limitedConn) Close() error {
 	err := c.Conn.Close()
+	c.mu.Lock()
+	if !c.shut {
+		c.shut = true
+		c.of.ahead.Add(int64(-len(c.ahead)))
+		c.ahead = nil
+	}
+	c.mu.Unlock()
 	c.of.mu.Lock()
 	defer c.of.mu.Unlock()
 	c.end()
