Ask beside a call only where a watch is silent or discovery has moved

Polls behind a failure are single again, a watch is asked beside 0.6 s behind its hold (0.3 s before).

Let stalled requests give way to clients that wait for a place

Of requests that have begun 0.25 s ago and not come whole the oldest is ended while a client waits for a place, by 503 or a close.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -53,7 +53,7 @@
 func NewClient(address string, p Pace, random func() float64, log *slog.Logger) *Client {
 	return &Client{url: "http://" + address + "/registry/instances", pace: p, log: log,
 		start: time.Now(), ended: make(chan struct{}), asked: make(chan struct{}, 1), watcher: NewWatcher(p, random),
-		http: &http.Client{Transport: &http.Transport{MaxConnsPerHost: mostRequests + 1, MaxIdleConnsPerHost: 1,
+		http: &http.Client{Transport: &http.Transport{MaxConnsPerHost: mostBeside + 2, MaxIdleConnsPerHost: 1,
 			DialContext: (&net.Dialer{Timeout: p.Late}).DialContext}}}
 }
 
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -11,7 +11,7 @@
 const (
 	holdAsked  = 20 * time.Second        // a call to the shared service costs it work
 	lateAsked  = 2300 * time.Millisecond // a call beside a silent watch may wait for its turn; the next one begins sooner
-	besideHold = 300 * time.Millisecond  // behind its hold a watch is silent, and a call goes out beside it
+	besideHold = 600 * time.Millisecond  // behind its hold a watch is silent, and a call goes out beside it
 	besideStep = 800 * time.Millisecond  // behind the last of them a call has no answer, and another goes out beside it
 	turnAsked  = 2 * time.Second         // calls wait for their turn at the service; one given up sooner only waits anew
 	pollHold   = 10 * time.Millisecond   // answered at once in effect; 0 could be read as a missing figure
@@ -22,7 +22,7 @@
 	unheldPart = 100                     // a call that ends within this part of its hold was not held
 	jitterMost = 1.5                     // of a wait; the least is a third of it
 
-	mostRequests = 3 // of a call: the watch, one in vain beside it, and one more
+	mostBeside = 2 // requests of a call that follow one in vain, and of one that wants a list at once
 )
 
 // Never is the time of what is not due.
@@ -94,7 +94,11 @@
 	if c.held() {
 		next = c.Hold + besideHold
 	}
-	for ; next < c.Timeout && len(times) < mostRequests; next += c.beside {
+	most := mostBeside
+	if c.held() {
+		most++
+	}
+	for ; next < c.Timeout && len(times) < most; next += c.beside {
 		times = append(times, next)
 	}
 	return times
@@ -152,9 +156,6 @@
 		return Call{}, w.at, false
 	}
 	c = Call{Whole: w.fetch || !w.known, Timeout: w.pace.List, Stall: w.pace.List}
-	if w.failures <= 1 {
-		c.beside = w.pace.Beside
-	}
 	if !c.Whole {
 		c.From = w.index
 		switch {
@@ -166,6 +167,9 @@
 			c.Hold = pollHold
 		}
 	}
+	if c.held() || w.fetch { // others are answers to a failure: a crowd at discovery must not call twice as often
+		c.beside = w.pace.Beside
+	}
 	w.calls++
 	c.number = w.calls
 	w.call, w.began = c, now
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -42,6 +42,8 @@
 	made     time.Time          // when it was accepted
 	deadline time.Time          // as net/http sets it for reads
 	wholeBy  time.Time          // in its place, when the request that has begun to come is to be whole; zero: none has begun
+	begun    time.Time          // when its first byte came; zero: none has begun, or it is to end
+	hurried  bool               // it was ended for others, that need its place
 	spoken   bool               // it has carried a request
 	came     time.Time          // when bytes have last come
 	queued   time.Time          // what the first request is read from may have come then already; zero: it did not
@@ -111,7 +113,8 @@
 // up to its fourth byte. The caller holds c.mu.
 func (c *limitedConn) begin() {
 	if !c.heard && !c.open {
-		c.wholeBy = time.Now().Add(readTime)
+		c.begun = time.Now()
+		c.wholeBy = c.begun.Add(readTime)
 		if first := c.made.Add(firstTime); !c.spoken && first.Before(c.wholeBy) {
 			c.wholeBy = first
 		}
@@ -124,10 +127,33 @@
 func (c *limitedConn) endReading(by time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.wholeBy = by
+	c.wholeBy, c.begun = by, time.Time{}
 	c.setDeadline()
 }
 
+// readingSince is when a request began that has not come whole; zero: there is none.
+func (c *limitedConn) readingSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun
+}
+
+// hurry ends the reading of a request, if it has still not come whole.
+func (c *limitedConn) hurry() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.begun.IsZero() {
+		c.hurried, c.begun, c.wholeBy = true, time.Time{}, time.Now()
+		c.setDeadline()
+	}
+}
+
+func (c *limitedConn) wasHurried() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hurried
+}
+
 // note sees to it that what comes behind a single byte is read ahead. The
 // caller holds c.mu.
 func (c *limitedConn) note(wanted int) {
@@ -213,7 +239,7 @@
 func (c *limitedConn) setOpen(open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open, c.queued, c.wholeBy = open, time.Time{}, time.Time{}
+	c.open, c.queued, c.wholeBy, c.begun = open, time.Time{}, time.Time{}, time.Time{}
 	c.setDeadline()
 	c.judge()
 }
@@ -281,7 +307,7 @@
 func (c *limitedConn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heard, c.spoken, c.queued, c.wholeBy = false, true, time.Time{}, time.Time{}
+	c.heard, c.spoken, c.queued, c.wholeBy, c.begun = false, true, time.Time{}, time.Time{}, time.Time{}
 	if c.early || len(c.ahead) > 0 {
 		c.begin()
 	}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -191,11 +191,27 @@
 func (f *frontend) turnAway(w http.ResponseWriter, r *http.Request, err error, status int) {
 	w.Header().Set("Connection", "close")
 	if c, ok := r.Context().Value(connKey{}).(*limitedConn); ok {
+		if c.wasHurried() {
+			dismiss(w)
+			return
+		}
 		c.endReading(time.Now().Add(dregsTime))
 	}
 	http.Error(w, err.Error(), status)
 }
 
+// dismiss refuses a request that has not come whole and ends its connection,
+// whose place others need at once: net/http would hold it for a while yet.
+func dismiss(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // it has ended
+	}
+	defer c.Close()
+	c.SetWriteDeadline(time.Now().Add(dregsTime))
+	io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
+
 // framing refuses requests whose ends two readers could see in two places: one
 // could hide another in its body, which the next reader would run. Clients use
 // Content-Length alone. net/http drops it where a transfer coding is there
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -28,6 +28,7 @@
 
 	mu     sync.Mutex
 	conns  int
+	all    map[*limitedConn]struct{}
 	unused map[*limitedConn]unused // that carry no request
 }
 
@@ -39,7 +40,7 @@
 
 func limitListener(ln net.Listener, most int) *limited {
 	return &limited{acceptor: acceptor{Listener: ln, log: slog.New(slog.DiscardHandler)}, most: most,
-		changed: make(chan struct{}, 1), stopped: make(chan struct{}), unused: map[*limitedConn]unused{}}
+		changed: make(chan struct{}, 1), stopped: make(chan struct{}), all: map[*limitedConn]struct{}{}, unused: map[*limitedConn]unused{}}
 }
 
 // Accept makes room by closing a connection that carries no request: clients
@@ -53,12 +54,35 @@
 	}
 	for came := time.Now(); !l.take(); {
 		l.delayed(came)
+		l.hurryStalled(time.Now())
 		if !l.awaitPlace() {
 			c.Close()
 			return nil, net.ErrClosed
 		}
 	}
-	return newLimitedConn(c, l, since), nil
+	lc := newLimitedConn(c, l, since)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all[lc] = struct{}{}
+	return lc, nil
+}
+
+// hurryStalled ends the oldest of the requests that should have come whole by
+// now: clients that stop in the middle of one must not hold up others.
+func (l *limited) hurryStalled(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var oldest *limitedConn
+	var since time.Time
+	for c := range l.all {
+		began := c.readingSince()
+		if !began.IsZero() && now.Sub(began) >= speakTime && (oldest == nil || began.Before(since)) {
+			oldest, since = c, began
+		}
+	}
+	if oldest != nil {
+		oldest.hurry()
+	}
 }
 
 // take takes a place.
@@ -125,6 +149,7 @@
 		if lc.use(); lc.closed { // given up while a request was on its way
 			lc.closed = false
 			l.conns++
+			l.all[lc] = struct{}{}
 		}
 		fallthrough
 	default:
@@ -202,6 +227,7 @@
 	if !c.closed {
 		c.closed = true
 		c.of.conns--
+		delete(c.of.all, c)
 		delete(c.of.unused, c)
 		c.of.notify()
 	}
