--- a/internal/node/clientconn_test.go
+++ b/internal/node/clientconn_test.go
@@ -108,6 +108,38 @@
 	}
 }
 
+// TestManyAtOnce: a client sends hundreds of requests at once, and waits for all their answers.
+func TestManyAtOnce(t *testing.T) {
+	const count = 500 // some 45 KiB
+	server, _ := answering(t)
+	n := startNode(t, server)
+	c := n.dial(t)
+	var text strings.Builder
+	for i := range count {
+		text.WriteString(orderText(fmt.Sprint("q", i), "20"))
+	}
+	go io.WriteString(c, text.String())
+	for i := range count {
+		resp, err := http.ReadResponse(c.read, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		if io.Copy(io.Discard, resp.Body); resp.StatusCode != http.StatusOK {
+			t.Fatalf("request %d is answered %d", i, resp.StatusCode)
+		}
+	}
+	c.Close()
+	ahead := &n.front.conns.ahead
+	await(t, "what is read ahead to be given back", func() bool { return ahead.Load() == 0 })
+	early := n.dial(t)
+	io.WriteString(early, text.String()) // its ids are free again
+	early.Close()
+	await(t, "the connection to end", func() bool { return n.front.conns.open() == 0 })
+	if left := ahead.Load(); left != 0 {
+		t.Errorf("%d bytes stay counted as read ahead", left)
+	}
+}
+
 // connPair is a node's end and a client's end of one connection.
 func connPair(t *testing.T) (*limitedConn, net.Conn) {
 	t.Helper()
@@ -269,7 +301,7 @@
 		gone := make(chan bool, 1)
 		c.leave = func() { gone <- true }
 		c.setOpen(open)
-		long := bytes.Repeat([]byte("x"), maxHead+maxBody)
+		long := bytes.Repeat([]byte("x"), 2*aheadMost)
 		go client.Write(long)
 		if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
 			t.Fatalf("reads %d bytes, %v", n, err)
