--- a/internal/discovery/chain_test.go
+++ b/internal/discovery/chain_test.go
@@ -16,6 +16,7 @@
 type service struct {
 	down, up  time.Duration // out of order in between
 	refuses   bool          // calls then, or else says nothing
+	answers   bool          // it refuses by an answer
 	resets    bool          // watches that are open as it goes down, or else never answers them
 	change    time.Duration // when version 2 comes
 	failFirst int           // so many calls of each node fail once it is up,
@@ -44,6 +45,7 @@
 	calling bool
 	end     time.Duration // of the call
 	ok      bool          // it will be answered
+	refused bool          // its last request will be, or else says nothing
 	opened  time.Duration // when the watch began that was open as the service went down
 	failed  int
 	tick    time.Duration
@@ -118,7 +120,9 @@
 			end = s.change + answerTime
 		}
 	}
+	v.refused = false
 	fail := func(refused bool) {
+		v.refused = refused
 		if ok, end = false, timeout; refused {
 			end = now + refusal
 		}
@@ -158,7 +162,7 @@
 			if v.w.Answered(now, v.call, l) {
 				v.tell(now, decide.ListUpdate{Kind: l.Kind()})
 			}
-		} else if v.w.Failed(now, v.call) {
+		} else if v.refused && v.service.answers && v.w.Refused(now, v.call) || v.w.Failed(now, v.call) {
 			v.tell(now, decide.ListUpdate{Kind: decide.ListFailed})
 		}
 	}
@@ -208,14 +212,15 @@
 // at once and is known within the grace.
 func TestChainAfterAnOutage(t *testing.T) {
 	type kind struct {
-		asked, refuses, resets, silent bool
-		failures                       int
+		asked, refuses, resets, silent, answers bool
+		failures                                int
 	}
 	var kinds []kind
 	for _, asked := range []bool{true, false} {
 		for failures := range 2 {
 			kinds = append(kinds, kind{asked: asked, silent: true, failures: failures}, kind{asked: asked, failures: failures},
 				kind{asked: asked, refuses: true, resets: true, failures: failures},
+				kind{asked: asked, refuses: true, resets: true, answers: true, failures: failures},
 				kind{asked: asked, resets: true, failures: failures})
 		}
 	}
@@ -226,7 +231,7 @@
 		for seed := range int64(150) {
 			r := rand.New(rand.NewSource(seed))
 			set := askSettings(k.asked, graces[r.Intn(len(graces))])
-			sv := &service{down: 2*time.Second + time.Duration(r.Int63n(int64(20*time.Second))), refuses: k.refuses, resets: k.resets,
+			sv := &service{down: 2*time.Second + time.Duration(r.Int63n(int64(20*time.Second))), refuses: k.refuses, resets: k.resets, answers: k.answers,
 				failFirst: k.failures, hangs: r.Intn(2) == 0}
 			if sv.up = sv.down; !k.silent {
 				sv.up += time.Duration(r.Int63n(int64(12 * time.Second)))
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -23,8 +23,9 @@
 )
 
 var (
-	errSilent = errors.New("discovery says nothing")
-	errBroken = errors.New("discovery breaks a watch")
+	errSilent  = errors.New("discovery says nothing")
+	errRefused = errors.New("discovery turns a call away")
+	errBroken  = errors.New("discovery breaks a watch")
 )
 
 // Client makes a Watcher's calls over HTTP.
@@ -106,9 +107,12 @@
 	c.giveUp()
 	c.giveUp = nil
 	var news bool
-	if err == nil {
+	switch {
+	case err == nil:
 		news = c.watcher.Answered(c.now(), call, l)
-	} else {
+	case errors.Is(err, errRefused):
+		news = c.watcher.Refused(c.now(), call)
+	default:
 		news = c.watcher.Failed(c.now(), call)
 	}
 	c.mu.Unlock()
@@ -202,7 +206,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return l, fmt.Errorf("discovery answers %s", resp.Status)
+		return l, fmt.Errorf("%w: it answers %s", errRefused, resp.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(&watched{resp.Body, guard, call.Stall, time.Now().Add(listTime)}, maxList+1))
 	if err != nil {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -466,3 +466,37 @@
 		wait(t, gone, "the end of the others")
 	}
 }
+
+// TestRefusedCallIsAWatchNext: behind an answer that refuses the next call is held, for a time within the 6 s, and the one
+// behind its answer for the usual time. Behind any other failure it is not held.
+func TestRefusedCallIsAWatchNext(t *testing.T) {
+	p := PaceOf(decide.Settings{AskForList: true, DrainGrace: time.Second})
+	for _, refused := range []bool{true, false} {
+		w := NewWatcher(p, func() float64 { return 0.5 })
+		now := time.Duration(0)
+		w.Ask(now, true, true)
+		c, _, _ := w.Next(now)
+		w.Answered(now, c, List{Index: 7, Snapshot: true})
+		c, _, _ = w.Next(now)
+		if refused {
+			w.Refused(now, c)
+		} else {
+			w.Failed(now, c)
+		}
+		w.Ask(now, false, true) // as the module does
+		c, _, ok := w.Next(now)
+		if !ok || c.From != 7 || c.held() != refused {
+			t.Errorf("refused %v: the next call is %+v", refused, c)
+		}
+		for _, at := range c.Requests()[1:] {
+			if at > 6*time.Second-p.Poll {
+				t.Errorf("refused %v: a request beside it goes out after %v", refused, at)
+			}
+		}
+		now += c.Hold + time.Millisecond
+		w.Answered(now, c, List{Index: 7})
+		if c, _, ok = w.Next(now); !ok || c.Hold != p.Hold {
+			t.Errorf("refused %v: the call behind its answer is held %v, want %v", refused, c.Hold, p.Hold)
+		}
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -9,18 +9,19 @@
 )
 
 const (
-	holdAsked  = 20 * time.Second        // a call to the shared service costs it work
-	lateAsked  = 2300 * time.Millisecond // a call beside a silent watch may wait for its turn; the next one begins sooner
-	besideHold = 600 * time.Millisecond  // behind its hold a watch is silent, and a call goes out beside it
-	besideStep = 800 * time.Millisecond  // behind the last of them a call has no answer, and another goes out beside it
-	turnAsked  = 2 * time.Second         // calls wait for their turn at the service; one given up sooner only waits anew
-	pollHold   = 10 * time.Millisecond   // answered at once in effect; 0 could be read as a missing figure
-	firstWait  = 50 * time.Millisecond   // behind a first failure at the agent, which costs nothing to ask
-	leastGrace = 400 * time.Millisecond  // calls to the agent cost the node processor time, if nothing else
-	mostGrace  = 4 * time.Second         // a watch that has fallen silent must be found within 6 s in any case
-	unheldWait = 100 * time.Millisecond  // between calls to a discovery that holds none: no loop
-	unheldPart = 100                     // a call that ends within this part of its hold was not held
-	jitterMost = 1.5                     // of a wait; the least is a third of it
+	holdAsked   = 20 * time.Second        // a call to the shared service costs it work
+	holdRefused = 2 * time.Second         // behind an answer that refuses: within the 6 s, though it falls silent
+	lateAsked   = 2300 * time.Millisecond // a call beside a silent watch may wait for its turn; the next one begins sooner
+	besideHold  = 600 * time.Millisecond  // behind its hold a watch is silent, and a call goes out beside it
+	besideStep  = 800 * time.Millisecond  // behind the last of them a call has no answer, and another goes out beside it
+	turnAsked   = 2 * time.Second         // calls wait for their turn at the service; one given up sooner only waits anew
+	pollHold    = 10 * time.Millisecond   // answered at once in effect; 0 could be read as a missing figure
+	firstWait   = 50 * time.Millisecond   // behind a first failure at the agent, which costs nothing to ask
+	leastGrace  = 400 * time.Millisecond  // calls to the agent cost the node processor time, if nothing else
+	mostGrace   = 4 * time.Second         // a watch that has fallen silent must be found within 6 s in any case
+	unheldWait  = 100 * time.Millisecond  // between calls to a discovery that holds none: no loop
+	unheldPart  = 100                     // a call that ends within this part of its hold was not held
+	jitterMost  = 1.5                     // of a wait; the least is a third of it
 
 	mostBeside = 2 // requests of a call that follow one in vain, and of one that wants a list at once
 )
@@ -135,6 +136,7 @@
 	calls        int            // so far
 	began, at    time.Duration  // of that call; of the next one, at the earliest
 	failures     int            // in a row
+	refused      bool           // the last failure was an answer: discovery can be reached
 	up           time.Duration  // when a call was answered behind a failure
 	wait         time.Duration  // after the next failure, before jitter
 }
@@ -161,6 +163,8 @@
 		switch {
 		case !w.poll:
 			c.Hold, c.Timeout = w.pace.Hold, w.pace.Hold+w.pace.Late
+		case w.refused:
+			c.Hold, c.Timeout = holdRefused, holdRefused+w.pace.Late
 		case w.failures <= 1:
 			c.Hold, c.Timeout = pollHold, w.pace.Poll
 		default:
@@ -224,7 +228,7 @@
 	if c.number == 0 || c.number != w.call.number {
 		return false
 	}
-	w.call, w.poll = Call{}, true
+	w.call, w.poll, w.refused = Call{}, true, false
 	w.failures++
 	if w.pace.Asked {
 		w.fetch, w.watch = false, false
@@ -242,3 +246,13 @@
 	w.wait = min(2*w.wait, w.pace.Cadence)
 	return w.failures == 1
 }
+
+// Refused is Failed where the failure was an answer: discovery turns calls away
+// and can be reached. Where lists are asked for the next call may then be held
+// for a while: it is a watch at once, and those that discovery has answered do
+// not take a second turn from those that it has not.
+func (w *Watcher) Refused(now time.Duration, c Call) bool {
+	news := w.Failed(now, c)
+	w.refused = news && w.pace.Asked
+	return news
+}
