Time slow and stalled requests by what the test's own process was kept from running

Of 120 cases beside a heavy load 2 failed, as the client's second part left over 0.3 s late, which the node may close. The bound stays; a try in which this process was kept from running for 0.1 s is made again, five times at most.

--- a/internal/node/stalled_test.go
+++ b/internal/node/stalled_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -26,6 +27,28 @@
 	return c, made
 }
 
+// watchStalls measures the longest time in which this process, node and client alike, was kept from running: what a test
+// times is late by that.
+func watchStalls(t *testing.T) (longest func() time.Duration) {
+	const step = 5 * time.Millisecond
+	var most atomic.Int64
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for last := time.Now(); ; {
+			select {
+			case <-time.After(step):
+			case <-done:
+				return
+			}
+			now := time.Now()
+			most.Store(max(most.Load(), int64(now.Sub(last)-step)))
+			last = now
+		}
+	}()
+	return func() time.Duration { return time.Duration(most.Load()) }
+}
+
 // TestStalledRequest: a client sends a part of a request, some of it later, and stays. It is owed an end within 3 s: of
 // the first byte, and on a new connection of its making.
 func TestStalledRequest(t *testing.T) {
@@ -38,6 +61,7 @@
 				for _, more := range []int{0, 10} { // bytes that come 1.5 s later
 					t.Run(fmt.Sprintf("spoken %v, rest %v, %d and %d bytes", spoken, rest, first, more), func(t *testing.T) {
 						t.Parallel()
+						stalled := watchStalls(t)
 						c, from := n.askedAt(t, spoken)
 						time.Sleep(rest)
 						if spoken {
@@ -49,7 +73,7 @@
 							io.WriteString(c, text[first:first+more])
 						}
 						resp, err := http.ReadResponse(c.read, nil)
-						if took := time.Since(from); took > owedWithin || err == nil && resp.StatusCode < 400 || isTimeout(err) {
+						if took := time.Since(from); took > owedWithin+stalled() || err == nil && resp.StatusCode < 400 || isTimeout(err) {
 							t.Errorf("%v, %v after %v, want an error or the end within %v", resp, err, took, owedWithin)
 						}
 					})
@@ -69,18 +93,27 @@
 			text := orderText(fmt.Sprintf("%v-%d", spoken, first), "20")
 			t.Run(fmt.Sprintf("spoken %v, %d bytes first", spoken, first), func(t *testing.T) {
 				t.Parallel()
-				c, _ := n.askedAt(t, spoken)
-				rest := silentTime
-				if spoken {
-					rest = idleTime
-				}
-				time.Sleep(rest - 200*time.Millisecond)
-				io.WriteString(c, text[:first])
-				time.Sleep(500 * time.Millisecond)
-				io.WriteString(c, text[first:])
-				if resp, err := http.ReadResponse(c.read, nil); err != nil || resp.StatusCode != http.StatusOK {
-					t.Errorf("%v, %v; want 200", resp, err)
+				const tries, busy = 5, 100 * time.Millisecond
+				for range tries {
+					stalled := watchStalls(t)
+					c, _ := n.askedAt(t, spoken)
+					rest := silentTime
+					if spoken {
+						rest = idleTime
+					}
+					time.Sleep(rest - 200*time.Millisecond)
+					io.WriteString(c, text[:first])
+					time.Sleep(500 * time.Millisecond)
+					io.WriteString(c, text[first:])
+					resp, err := http.ReadResponse(c.read, nil)
+					if err == nil && resp.StatusCode == http.StatusOK {
+						return
+					}
+					if stalled() < busy { // else its parts came later than meant
+						t.Fatalf("%v, %v; want 200", resp, err)
+					}
 				}
+				t.Errorf("not served in %d tries, each kept from running for over %v", tries, busy)
 			})
 		}
 	}
