Add a failing test of requests amid a crowd that lasts

While idle clients keep the listener's queue from ever being empty, what comes counts as sent when they began, which is past its time: 0 of 10 requests were served here.

--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -168,3 +168,47 @@
 		}
 	}
 }
+
+// TestLastingCrowd: idle clients come again and again for longer than a request's time, so that the listener's queue is
+// never empty. What comes then has not waited all along, and is served.
+func TestLastingCrowd(t *testing.T) {
+	const patience = time.Second
+	server, _ := answering(t)
+	n := startNodeOn(t, listen(t), func(c *Config) { c.Sockets = 64 }, server)
+	done := make(chan struct{})
+	var crowd sync.WaitGroup
+	for range 16 * n.front.most {
+		crowd.Add(1)
+		go func() {
+			defer crowd.Done()
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if c, err := net.Dial("tcp", n.address); err == nil {
+					c.SetReadDeadline(time.Now().Add(enough))
+					io.Copy(io.Discard, c) // until the node closes it
+					c.Close()
+				}
+			}
+		}()
+	}
+	time.Sleep(2 * patience)
+	served := 0
+	for i := range 10 {
+		c := n.dial(t)
+		c.order(t, fmt.Sprint("q", i), fmt.Sprint(patience.Seconds()))
+		if resp, err := http.ReadResponse(c.read, nil); err == nil && resp.StatusCode == http.StatusOK {
+			served++
+		}
+	}
+	close(done)
+	n.stop()
+	n.linger()
+	crowd.Wait()
+	if served < 9 {
+		t.Errorf("%d of 10 requests are served", served)
+	}
+}
