Count only the last wait for a place where the queue is never empty

The acceptor took what it found waiting for as old as the time at which the queue was last seen empty. Behind failures that lapses 1 s after the last; behind waits for a place it is the last wait alone.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -13,6 +13,7 @@
 	acceptRetryFirst = time.Millisecond      // wait behind a failed Accept; doubles
 	acceptRetryLast  = 20 * time.Millisecond // the longest such wait: a request's time runs in the queue
 	acceptWaited     = time.Millisecond      // an Accept that takes longer has found its queue empty
+	queueDrained     = time.Second           // behind a failure: what waited meanwhile has been taken
 )
 
 // acceptor takes connections from a listener. It outlasts failures that pass,
@@ -21,36 +22,43 @@
 	net.Listener
 	log *slog.Logger
 
-	// Connections in the queue may have waited since then. Zero: it was empty
-	// when last looked at.
-	waiting time.Time
+	failing time.Time // the first of a row of failures; zero: the queue has been empty since
+	failed  time.Time // the last of them
+	full    time.Time // when the last wait for a place began; zero: the queue has been empty since, or one has been taken
 }
 
 // next takes a connection. What has been sent on it so far was sent at since,
-// or later.
+// or later, but for a queue that is never empty while clients wait for places
+// one after the other: there only the last wait is counted.
 func (a *acceptor) next() (c net.Conn, since time.Time, err error) {
 	for wait, failures := acceptRetryFirst, 0; ; failures++ {
 		came := time.Now()
 		c, err = a.Listener.Accept()
-		if now := time.Now(); now.Sub(came) >= acceptWaited {
-			came, a.waiting = now, time.Time{}
+		now := time.Now()
+		if now.Sub(came) >= acceptWaited {
+			came, a.failing, a.full = now, time.Time{}, time.Time{}
+		}
+		if now.Sub(a.failed) >= queueDrained {
+			a.failing = time.Time{}
 		}
 		switch {
 		case err == nil:
-			return c, cmp.Or(a.waiting, came), nil
+			since = cmp.Or(a.failing, a.full, came)
+			a.full = time.Time{}
+			return c, since, nil
 		case !passing(err):
 			return nil, time.Time{}, err
 		case failures == 0:
 			a.log.Warn("accepting a client fails, and is tried again", "err", err)
 		}
-		a.delayed(came)
+		a.failing, a.failed = cmp.Or(a.failing, a.full, came), now
 		time.Sleep(wait)
 		wait = min(2*wait, acceptRetryLast)
 	}
 }
 
-// delayed notes that connections have not been taken from the queue since then.
-func (a *acceptor) delayed(since time.Time) { a.waiting = cmp.Or(a.waiting, since) }
+// waitedForPlace notes that connections have not been taken from the queue since then.
+func (a *acceptor) waitedForPlace(since time.Time) { a.full = since }
 
 // passing tells whether Accept may be called again after an error. Linux passes
 // on what has befallen the connection that it was about to return (accept(2)),
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -53,7 +53,7 @@
 		return nil, err
 	}
 	for came := time.Now(); !l.take(); {
-		l.delayed(came)
+		l.waitedForPlace(came)
 		l.hurryStalled(time.Now())
 		if !l.awaitPlace() {
 			c.Close()
