Keep the date of each request that waits behind an open one

Callers saw: a request sent without waiting for the response before it was told more time than its client had left, if a third arrived meanwhile, by as long as the second had waited.

Cause: a client's connection kept one date, that of its last read. The byte by which net/http watches the connection, and what is read ahead behind it, moved the date of requests that had arrived before.

Change: what is read ahead keeps the date of each part; a read returns parts of one date only, and the byte of the watch moves none. So the last ordinary read before a request is parsed is the one that completed it, or an earlier one.

TestLongNextRequest reads the number of bytes read ahead from its new place.

--- a/internal/node/arrival_test.go
+++ b/internal/node/arrival_test.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -67,6 +70,54 @@
 	}
 }
 
+// TestPipelinedRequestKeepsItsTime: a request waits behind another one of its
+// connection, and a third arrives later. The deadline sent with the second is no
+// more than what is left to its client.
+func TestPipelinedRequestKeepsItsTime(t *testing.T) {
+	const clientTimeout = 20 * time.Second
+	for name, withFirst := range map[string]bool{"sent with the first": true, "sent while the first is open": false} {
+		t.Run(name, func(t *testing.T) {
+			requests, release := make(chan *http.Request, 3), make(chan bool, 3)
+			n := startNode(t, startBackend(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				for req := readRequest(r); req != nil; req = readRequest(r) {
+					requests <- req
+					<-release
+					io.WriteString(c, okResponse)
+				}
+			}))
+			c := n.dial(t)
+			first, second := postText("first", "20"), postText("second", "20")
+			sentAt := time.Now()
+			if withFirst {
+				io.WriteString(c, first+second)
+			} else {
+				io.WriteString(c, first)
+			}
+			receive(t, requests, "the first")
+			if !withFirst {
+				sentAt = time.Now()
+				io.WriteString(c, second)
+			}
+			time.Sleep(heldUpTime)
+			io.WriteString(c, postText("third", "20"))
+			delayVisibly() // until the node has read it
+			left := clientTimeout - time.Since(sentAt)
+			release <- true
+			if d := deadlineOf(t, receive(t, requests, "the second")); d > left+deadlineSlack {
+				t.Errorf("sent with a deadline of %v, and at most %v was left", d, left)
+			}
+			release <- true
+			receive(t, requests, "the third")
+			release <- true
+			for i := range 3 {
+				if s := c.status(t); s != http.StatusOK {
+					t.Errorf("request %d: status %d", i, s)
+				}
+			}
+		})
+	}
+}
+
 // TestEachSlotWaitCounts: requests wait in the listener's queue while connections
 // ahead of them wait for a slot, one after the other. They are dated by when they
 // arrived.
@@ -97,3 +148,24 @@
 		release <- true
 	}
 }
+
+// TestReadAheadDates: bytes that arrive one by one share a date only for a short
+// time, and each read returns bytes of one date.
+func TestReadAheadDates(t *testing.T) {
+	var buffer readAheadBuffer
+	var start time.Time
+	for _, part := range []struct {
+		data string
+		at   time.Duration
+	}{{"ab", 0}, {"c", chunkMergeTime}, {"d", chunkMergeTime + 1}} {
+		buffer.add([]byte(part.data), start.Add(part.at))
+	}
+	var got strings.Builder
+	for b := make([]byte, 2); !buffer.empty(); {
+		n, at := buffer.take(b)
+		fmt.Fprintf(&got, "%s %v, ", b[:n], at.Sub(start))
+	}
+	if want := "ab 0s, c 0s, d 5.000001ms, "; got.String() != want {
+		t.Errorf("reads %q, want %q", got.String(), want)
+	}
+}
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -52,7 +52,9 @@
 	// servedBefore: the connection has carried a request.
 	servedBefore bool
 
-	// receivedAt is when the bytes arrived that were read last.
+	// receivedAt is when the bytes arrived that net/http has read last, but for
+	// the single byte by which it watches the connection of an open request: that
+	// begins a later request.
 	receivedAt time.Time
 
 	// queuedSince is since when the bytes of the first request may have waited
@@ -81,7 +83,7 @@
 	readAheadStopped sync.Cond
 
 	// readAhead is what has been read ahead, counted in limiter.readAheadBytes.
-	readAhead []byte
+	readAhead readAheadBuffer
 
 	// closed: Close has been called.
 	closed bool
@@ -111,10 +113,10 @@
 // reads, so what follows is read ahead from here.
 func (c *clientConn) Read(b []byte) (int, error) {
 	c.mu.Lock()
-	if c.readingAhead && len(c.readAhead) == 0 {
+	if c.readingAhead && c.readAhead.empty() {
 		c.stopReadAhead()
 	}
-	if len(c.readAhead) > 0 && len(b) > 0 {
+	if !c.readAhead.empty() && len(b) > 0 {
 		defer c.mu.Unlock()
 		return c.takeReadAhead(b), nil
 	}
@@ -131,13 +133,19 @@
 	if n == 0 {
 		return n, err
 	}
-	c.receivedAt = c.arrivalTime()
+	if !isWatch(b) {
+		c.receivedAt = c.arrivalTime()
+	}
 	c.noteReceived()
 	c.stopDraining() // what arrived as the connection was being drained has to be answered
-	c.startReadAhead(len(b))
+	c.startReadAhead(b)
 	return n, err
 }
 
+// isWatch reports whether a read into b is how net/http watches a connection
+// while a request is open: it reads a single byte.
+func isWatch(b []byte) bool { return len(b) == 1 }
+
 // arrivalTime returns when the bytes arrived at this machine that have just been
 // read from Conn. They may have lain there for a while, in the listener's queue or
 // as the process was not running, and their client's timeout has been running
@@ -205,8 +213,8 @@
 	return c.tightened
 }
 
-// lastReceivedAt returns when the bytes arrived that were read last. What has been
-// parsed of them was sent then or earlier.
+// lastReceivedAt returns when the bytes arrived that net/http has read last. What
+// it has parsed of them was sent then or earlier.
 func (c *clientConn) lastReceivedAt() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -278,7 +286,7 @@
 	c.receivedSinceIdle = false
 	c.servedBefore = true
 	c.clearRequestTimes()
-	if c.nextRequestStarted || len(c.readAhead) > 0 {
+	if c.nextRequestStarted || !c.readAhead.empty() {
 		c.noteReceived()
 	}
 }
--- a/internal/node/readahead_test.go
+++ b/internal/node/readahead_test.go
@@ -111,7 +111,7 @@
 		waitUntil(t, "as much to be read ahead as allowed", func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			return !c.readingAhead && len(c.readAhead) > maxReadAhead
+			return !c.readingAhead && c.readAhead.size > maxReadAhead
 		})
 		if _, err := io.ReadFull(c, make([]byte, len(long)-1)); err != nil {
 			t.Errorf("of what follows: %v", err)
