Tests: give each program under test a port that no other socket gets first

Cause: freeAddress closed its listener and left the port on 127.0.0.1 to whoever asked next, be it a backend of the same test or another process. The fault is the test's.

Change: the address has an IP of its own in 127.0.0.0/8, which nothing else uses. All checks stay as they are.

--- a/cmd/bankshift/environment_test.go
+++ b/cmd/bankshift/environment_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -57,10 +58,13 @@
 	return `{"index":7,"snapshot":true,"endpoints":[` + strings.Join(entries, ",") + `]}`
 }
 
-// freeAddress returns an address on which nothing listens.
+// freeAddress returns an address on which nothing listens. Its IP address is used
+// for nothing else: no listener, of this test or of another process, gets the port
+// before the program that is to listen there.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := net.IPv4(127, byte(1+rand.IntN(254)), byte(rand.IntN(256)), byte(1+rand.IntN(254)))
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
