Repeat a request's last checks where the write is held up behind them

Callers saw: a node held up just before it wrote a request sent it all the same, for a client gone for 0.137 s (0.1 s is allowed) or with 0.168 s too much told (0.15 s).

Cause: Attempt read the clock, asked for drains and departures, encoded, registered the interrupt and wrote; nothing looked at the time that these steps took. The end of the time to start was seen only when its timer had fired.

Change: conn.prepare repeats checks and deadline where over 5 ms have passed since its clock reading; the interrupt is registered before it, and the time to start is compared with the clock. TestHeldUpAfterTheLastCheck failed in all four cases before.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -8,6 +8,10 @@
 	"bankshift/balancer"
 )
 
+// maxCheckAge is how old the last checks of a request may be as its first byte is
+// written. They take some microseconds, unless this process is held up.
+const maxCheckAge = 5 * time.Millisecond
+
 // Result is how an attempt ended.
 type Result struct {
 	Outcome balancer.Outcome
@@ -47,23 +51,49 @@
 		return failedUnsent(dialCtx, id, StepDial, err)
 	}
 
+	stopInterrupt := context.AfterFunc(ctx, c.interrupt)
+	defer stopInterrupt()
+
 	// This comes ahead of the check of startCtx, or a request could be sent after
 	// its client was answered that it was not.
 	r.mayBeSent.Store(true)
-	timeLeft := time.Until(deadline)
-	// The dial may have taken a while, and this process may have been held up.
-	if !c.mayStart(ctx, startCtx, timeLeft, r) {
-		c.release()
+	message, ok := c.prepare(ctx, startCtx, deadline, r, encoded)
+	if !ok {
+		c.finish(stopInterrupt())
 		return notSent(id, ErrCalledOff)
 	}
-	return c.exchange(ctx, r.Method, encoded.withDeadline(timeLeft))
+	result, reusable := c.exchange(ctx, r.Method, message)
+	// An interrupt that cannot be stopped any more could hit the next exchange.
+	c.finish(reusable && stopInterrupt())
+	return result
 }
 
-// mayStart is the last check before the first byte of r is written.
-func (c *conn) mayStart(ctx, startCtx context.Context, timeLeft time.Duration, r *Request) bool {
+// prepare makes the last checks before the first byte of r is written, and returns
+// what to write. It reports false if r must not be sent any more. The dial may have
+// taken a while, and this process may be held up at any point: the checks and the
+// deadline in the message are at most maxCheckAge old when prepare returns.
+func (c *conn) prepare(ctx, startCtx context.Context, deadline time.Time, r *Request, encoded encodedRequest) (message []byte, ok bool) {
+	for {
+		now := time.Now()
+		timeLeft := deadline.Sub(now)
+		if !c.mayStart(ctx, startCtx, now, timeLeft, r) {
+			return nil, false
+		}
+		message = encoded.withDeadline(timeLeft)
+		if time.Since(now) <= maxCheckAge {
+			return message, true
+		}
+	}
+}
+
+// mayStart reports whether r may still be sent.
+func (c *conn) mayStart(ctx, startCtx context.Context, now time.Time, timeLeft time.Duration, r *Request) bool {
+	startBy, limited := startCtx.Deadline()
 	switch {
 	case startCtx.Err() != nil, ctx.Err() != nil:
 		return false
+	case limited && !now.Before(startBy): // its timer may be late
+		return false
 	case timeLeft < minDeadline:
 		return false
 	case !c.acceptsRequests():
@@ -74,37 +104,36 @@
 	return true
 }
 
-// exchange writes a request and reads its response. It puts c back into the
-// pool if c can carry another request, or else closes it.
-func (c *conn) exchange(ctx context.Context, method string, request []byte) Result {
-	stopInterrupt := context.AfterFunc(ctx, c.interrupt)
-	defer stopInterrupt()
-	id := c.backend.endpoint
+// finish puts c back into the pool if it can carry another request, or else closes
+// it.
+func (c *conn) finish(reusable bool) {
+	if reusable {
+		c.release()
+	} else {
+		c.discard()
+	}
+}
 
+// exchange writes a request and reads its response. It reports whether c can carry
+// another request.
+func (c *conn) exchange(ctx context.Context, method string, request []byte) (result Result, reusable bool) {
+	id := c.backend.endpoint
 	written, err := c.Write(request)
 	if err != nil {
-		c.discard()
 		if written < len(request) {
-			return failedUnsent(ctx, id, StepWrite, err)
+			return failedUnsent(ctx, id, StepWrite, err), false
 		}
-		return failedSent(ctx, id, StepWrite, err) // the last byte may have arrived
+		return failedSent(ctx, id, StepWrite, err), false // the last byte may have arrived
 	}
 	sentAt := time.Now()
 
-	result, reusable, err := c.readResponse(method)
+	result, reusable, err = c.readResponse(method)
 	if err != nil {
-		c.discard()
 		failed := failedSent(ctx, id, StepRead, err)
 		failed.SentAt = sentAt
 		failed.Report = result.Report
-		return failed
+		return failed, false
 	}
 	result.SentAt = sentAt
-	// An interrupt that cannot be stopped any more could hit the next exchange.
-	if reusable && stopInterrupt() {
-		c.release()
-	} else {
-		c.discard()
-	}
-	return result
+	return result, reusable
 }
--- /dev/null
+++ b/internal/upstream/heldup_test.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"bankshift/balancer"
+)
+
+// TestHeldUpAfterTheLastCheck: the process is held up between the last checks of a
+// request and its first byte. What happens meanwhile counts.
+func TestHeldUpAfterTheLastCheck(t *testing.T) {
+	const heldUpTime = 400 * time.Millisecond
+	const deadlineSlack = 150 * time.Millisecond // by the operators' pages
+	for name, test := range map[string]struct {
+		meanwhile func(p *Pool) (clientLeft bool)
+		startBy   time.Duration
+		want      balancer.Outcome
+	}{
+		"time passes":          {func(*Pool) bool { return false }, testTimeout, balancer.OK},
+		"the client leaves":    {func(*Pool) bool { return true }, testTimeout, balancer.NotSent},
+		"the endpoint drains":  {func(p *Pool) bool { p.Set(endpoint, p.backends[endpoint].address, 0, true); return false }, testTimeout, balancer.NotSent},
+		"the start is overdue": {func(*Pool) bool { return false }, heldUpTime, balancer.NotSent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			deadlines := make(chan time.Duration, 1)
+			p := newTestPool(startEndpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				for req := readRequest(r); req != nil; req = readRequest(r) {
+					seconds, _ := strconv.ParseFloat(req.Header.Get(headerDeadline), 64)
+					deadlines <- time.Duration(seconds * float64(time.Second))
+					io.WriteString(c, okResponse)
+				}
+			}))
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			startCtx := unendingContext{context.Background(), time.Now().Add(test.startBy)}
+			r := newRequest()
+			looks := 0
+			clientLeft := false
+			r.ClientLeft = func() bool {
+				looks++
+				leftBefore := clientLeft
+				if looks == 1 {
+					clientLeft = test.meanwhile(p)
+					time.Sleep(heldUpTime)
+				}
+				return leftBefore
+			}
+			if got := p.Attempt(ctx, startCtx, endpoint, r); got.Outcome != test.want {
+				t.Errorf("outcome %v (%v), want %v", got.Outcome, got.Err, test.want)
+			}
+			if test.want != balancer.OK {
+				if len(deadlines) > 0 {
+					t.Error("the request was sent")
+				}
+				return
+			}
+			left := testTimeout - heldUpTime // at most
+			if d := receive(t, deadlines, "the request"); d > left+deadlineSlack {
+				t.Errorf("sent with a deadline of %v, and at most %v was left", d, left)
+			}
+		})
+	}
+}
