Write the log in a goroutine of its own, so that an unread one blocks nothing

Cause: the event loop wrote its log itself, and a write to a full pipe blocks until somebody reads. So did the error of a program that cannot start.

Change: logsink.Writer keeps 64 KiB, drops and counts the rest, and reports the count when the log flows again. A line is waited for while the log flows, so that a crash loses none; a stall costs 10 ms, at most once in a second. The program waits 50 ms at its end.

--- a/cmd/bankshift/environment_test.go
+++ b/cmd/bankshift/environment_test.go
@@ -19,10 +19,11 @@
 // environment is what a process is started beside: a discovery that can be out of
 // order, and a backend.
 type environment struct {
-	discovery   string      // address
-	backend     string      // address
-	endpoints   string      // the list of discovery
-	discoveryUp atomic.Bool // false: discovery accepts connections and never answers
+	discovery   string       // address
+	backend     string       // address
+	endpoints   string       // the list of discovery
+	polls       atomic.Int32 // that discovery has received
+	discoveryUp atomic.Bool  // false: discovery accepts connections and never answers
 }
 
 // newEnvironment starts an environment with so many entries in the endpoint list,
@@ -37,6 +38,7 @@
 	e := &environment{backend: backend.Listener.Addr().String()}
 	e.endpoints = e.endpointList(entries)
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.polls.Add(1)
 		if !e.discoveryUp.Load() || r.URL.Query().Get("from") == "7" {
 			<-r.Context().Done()
 			return
--- a/cmd/bankshift/main.go
+++ b/cmd/bankshift/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -13,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"bankshift/internal/logsink"
 	"bankshift/internal/node"
 )
 
@@ -23,14 +25,23 @@
 	loadRetryInterval = 50 * time.Millisecond
 )
 
+// logFlushTime is how long the program waits at its end for its log to be written.
+// The node has ended 150 ms before SIGKILL may come.
+const logFlushTime = 50 * time.Millisecond
+
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "bankshift:", err)
+	logOutput := logsink.New(os.Stderr)
+	err := run(logOutput)
+	if err != nil {
+		fmt.Fprintln(logOutput, "bankshift:", err)
+	}
+	logOutput.Flush(logFlushTime)
+	if err != nil {
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(logOutput io.Writer) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE) // the node goes on when nobody reads its log any more
@@ -45,7 +56,7 @@
 		return err
 	}
 	setMemoryLimit(cfg.MemoryMB)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
+	log := slog.New(slog.NewTextHandler(logOutput, nil)).With("node", cfg.Name)
 	ln, err := node.Listen(ctx, cfg.Listen, log)
 	if ctx.Err() != nil {
 		return nil // ordered to stop before it served
--- /dev/null
+++ b/internal/logsink/logsink_test.go
@@ -0,0 +1,135 @@
+package logsink
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// testTimeout limits what a test waits for; a passing test takes far less.
+const testTimeout = 30 * time.Second
+
+// gatedWriter takes a line only when the test lets it.
+type gatedWriter struct {
+	begun   chan bool // receives a value as each Write begins
+	release chan bool // lets one Write go on with each value
+	got     bytes.Buffer
+}
+
+func newGatedWriter() *gatedWriter {
+	return &gatedWriter{begun: make(chan bool, 1000), release: make(chan bool, 1000)}
+}
+
+func (w *gatedWriter) Write(p []byte) (int, error) {
+	w.begun <- true
+	<-w.release
+	return w.got.Write(p)
+}
+
+func receive(t *testing.T, c <-chan bool) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(testTimeout):
+		t.Fatal("nothing is written")
+	}
+}
+
+// stalledWriter returns a Writer whose clock the test moves. Its waits are counted,
+// and end at once, as if the line were not written in time.
+func stalledWriter(out *gatedWriter, now *time.Time, waits *int) *Writer {
+	w := newWriter(out)
+	w.now = func() time.Time { return *now }
+	w.after = func(time.Duration) <-chan time.Time {
+		*waits++
+		over := make(chan time.Time)
+		close(over)
+		return over
+	}
+	return w
+}
+
+// TestWrittenBeforeWriteReturns: a crash right behind a line does not lose it.
+func TestWrittenBeforeWriteReturns(t *testing.T) {
+	var out bytes.Buffer
+	w := newWriter(&out)
+	w.after = func(time.Duration) <-chan time.Time { return nil }
+	go w.run()
+	for i := range 100 {
+		line := fmt.Sprintln("line", i)
+		w.Write([]byte(line))
+		if !strings.HasSuffix(out.String(), line) {
+			t.Fatalf("line %d is not written yet", i)
+		}
+	}
+	if !w.Flush(testTimeout) {
+		t.Error("not flushed though all is written")
+	}
+}
+
+// TestStall: out takes nothing. One line is waited for, what is kept is bounded,
+// and the loss is reported once out takes lines again.
+func TestStall(t *testing.T) {
+	const lines, lineSize = 10_000, 100
+	const kept = maxPendingBytes / lineSize
+	out := newGatedWriter()
+	now, waits := time.Now(), 0
+	w := stalledWriter(out, &now, &waits)
+	for i := range lines {
+		fmt.Fprintf(w, "%*d\n", lineSize-1, i)
+	}
+	if waits != 1 {
+		t.Errorf("%d lines are waited for, want 1", waits)
+	}
+	if w.pendingBytes > maxPendingBytes {
+		t.Errorf("%d bytes are kept", w.pendingBytes)
+	}
+	if w.Flush(time.Second) {
+		t.Error("flushed though nothing is written")
+	}
+	go w.run()
+	for range kept + 1 {
+		receive(t, out.begun)
+		out.release <- true
+	}
+	w.after = time.After
+	fmt.Fprintln(w, "a later line") // is written behind the report
+	receive(t, out.begun)
+	out.release <- true
+	if !w.Flush(testTimeout) {
+		t.Fatal("not flushed")
+	}
+	got := strings.Split(out.got.String(), "\n")
+	want := fmt.Sprintf("msg=\"log lines lost\" lines=%d", lines-kept)
+	if len(got) != kept+3 || !strings.HasSuffix(got[kept], want) {
+		t.Errorf("%d lines are written, and behind those kept %q; want %d and %q", len(got)-1, got[kept], kept+2, want)
+	}
+}
+
+// TestShortStalls: out stalls again and again. One line in a second is waited for.
+func TestShortStalls(t *testing.T) {
+	out := newGatedWriter()
+	now, waits := time.Now(), 0
+	w := stalledWriter(out, &now, &waits)
+	go w.run()
+	const stalls, stallTime = 100, 20 * time.Millisecond
+	for range stalls {
+		l, _ := w.enqueue([]byte("before\n"))
+		receive(t, out.begun)
+		fmt.Fprintln(w, "a line")
+		now = now.Add(stallTime)
+		out.release <- true
+		receive(t, out.begun)
+		out.release <- true
+		<-l.written
+		for !w.Flush(0) { // its waits do not count
+			waits--
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if limit := 1 + int(stalls*stallTime/asyncTime); waits > limit {
+		t.Errorf("%d lines are waited for, want at most %d", waits, limit)
+	}
+}
