Let the balancer answer overdue requests, whichever timer comes first

Cause: the attempt's end at the deadline, behind which the balancer gives up, raced with the watchdog 4 ms later, which answered past the balancer.

Change: the watchdog reports DeadlineExceeded and the balancer gives the request up as it would have by itself. 504 remains for a request that the balancer has lost, and for those that the shutdown cuts short, of which the balancer does not know. The hollow node does the same.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -131,6 +131,8 @@
 		b.streamStarted(event)
 	case RequestAbandoned:
 		b.closeRequest(b.requests[event.ID])
+	case DeadlineExceeded:
+		b.deadlineExceeded(event)
 	case HealthCheckEnded:
 		b.healthCheckEnded(event)
 	case TimerFired:
--- a/balancer/event.go
+++ b/balancer/event.go
@@ -145,6 +145,9 @@
 	}
 	// RequestAbandoned means that the client has left; it needs no answer.
 	RequestAbandoned struct{ ID RequestID }
+	// DeadlineExceeded means that the request's final answer is due. It is answered at once by Reject or Fail, unless a
+	// stream has begun. A Balancer that gets its timers and outcomes in time needs none: it gives up by itself.
+	DeadlineExceeded struct{ ID RequestID }
 	// HealthCheckEnded is the result of a HealthCheck.
 	HealthCheckEnded struct {
 		Endpoint EndpointID
@@ -166,6 +169,7 @@
 func (AttemptEnded) event()     {}
 func (StreamStarted) event()    {}
 func (RequestAbandoned) event() {}
+func (DeadlineExceeded) event() {}
 func (HealthCheckEnded) event() {}
 func (MessageReceived) event()  {}
 func (TimerFired) event()       {}
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -262,6 +262,14 @@
 	}
 }
 
+// deadlineExceeded gives a request up whose answer is due, whatever this node's own account of its deadline.
+func (b *Balancer) deadlineExceeded(event DeadlineExceeded) {
+	request := b.requests[event.ID]
+	if request != nil && !request.done && !request.streaming {
+		b.giveUp(request)
+	}
+}
+
 // giveUp gives the final answer to a request that no endpoint served: Reject if allowed, else Fail.
 func (b *Balancer) giveUp(request *request) {
 	retryAfter := b.retryAfter(request.class) // drawn for Fail as well
--- a/internal/lab/hollow/node.go
+++ b/internal/lab/hollow/node.go
@@ -208,7 +208,7 @@
 	for _, r := range n.sortedRequests() {
 		if !r.answered && n.answerBy < r.deadline {
 			r.deadline = n.answerBy
-			n.answerAtDeadline(r, n.answerBy)
+			n.schedule(n.answerBy, func() { n.endUnanswered(r) })
 		}
 	}
 	m.schedule(killAt, n.kill)
--- a/internal/lab/hollow/request.go
+++ b/internal/lab/hollow/request.go
@@ -35,25 +35,31 @@
 	}
 	e.Timeout = r.deadline - m.now
 	n.requests[r.id] = r
-	n.answerAtDeadline(r, r.deadline+node.WatchdogDelay)
+	n.schedule(r.deadline+node.WatchdogDelay, func() { n.endOverdue(r) })
 	n.handle(e)
 }
 
-// answerAtDeadline fails a request that the balancer has not answered by a
-// time.
-func (n *hollowNode) answerAtDeadline(r *request, at time.Duration) {
-	n.schedule(at, func() {
-		if r.answered {
-			return
-		}
-		m := n.sim
-		m.currentSecond().deadlineAnswers++
-		n.answer(r.id, tryFailed, 0)
-		for _, a := range r.attempts {
-			n.schedule(m.now, a.cancel)
-		}
-		n.handle(balancer.RequestAbandoned{ID: r.id})
-	})
+// endOverdue has the balancer end a request whose deadline has passed without a
+// decision.
+func (n *hollowNode) endOverdue(r *request) {
+	if !r.answered {
+		n.handle(balancer.DeadlineExceeded{ID: r.id})
+	}
+	n.endUnanswered(r)
+}
+
+// endUnanswered fails a request, if it is not answered, without the balancer.
+func (n *hollowNode) endUnanswered(r *request) {
+	if r.answered {
+		return
+	}
+	m := n.sim
+	m.currentSecond().deadlineAnswers++
+	n.answer(r.id, tryFailed, 0)
+	for _, a := range r.attempts {
+		n.schedule(m.now, a.cancel)
+	}
+	n.handle(balancer.RequestAbandoned{ID: r.id})
 }
 
 // answer gives a try its final answer, once; later ones are ignored. Attempts
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -13,8 +13,8 @@
 	// ResponseMargin is how long before the client's timeout a response is due.
 	ResponseMargin = 10 * time.Millisecond
 
-	// WatchdogDelay is how long after a request's deadline the node ends it if the
-	// balancer has not.
+	// WatchdogDelay is how long after a request's deadline the node has the balancer
+	// end it, if it has not by itself.
 	WatchdogDelay = 4 * time.Millisecond
 )
 
@@ -83,8 +83,21 @@
 }
 
 // endOverdue ends a request whose deadline has passed without a decision of the
-// balancer: a response in time is owed whatever the balancer does.
+// balancer. The balancer decides then, however late its timers and the outcomes of
+// attempts are; but a response in time is owed whatever it does.
 func (n *Node) endOverdue(r *request) {
+	if r.answered {
+		return
+	}
+	r.cancel() // from here on nothing is sent
+	if r.upstream.MayBeSent() {
+		n.handle(balancer.DeadlineExceeded{ID: r.id()})
+	}
+	n.endUnanswered(r)
+}
+
+// endUnanswered ends a request, if it is not answered, without the balancer.
+func (n *Node) endUnanswered(r *request) {
 	if r.answered {
 		return
 	}
--- a/internal/node/request_test.go
+++ b/internal/node/request_test.go
@@ -31,6 +31,27 @@
 	receive(t, gone, "the attempt's end")
 }
 
+// TestWatchdogAsksBalancer: the watchdog comes before the balancer has given up by
+// itself. The answer is the balancer's all the same.
+func TestWatchdogAsksBalancer(t *testing.T) {
+	for class, want := range map[string]int{"saldo": http.StatusServiceUnavailable, "pagar": http.StatusBadGateway} {
+		t.Run(class, func(t *testing.T) {
+			backend, got, gone := startStallingBackend(t)
+			n := startNode(t, backend)
+			method := map[string]string{"saldo": "GET", "pagar": "POST"}[class]
+			responses := make(chan clientResponse, 1)
+			go func() { responses <- sendRequest(t, n.request(t, method, class, "q", "60", nil)) }()
+			receive(t, got, "the attempt")
+			n.post(func() { n.requests["q"].watchdog.Reset(0) })
+			a := receive(t, responses, "the response")
+			if told := a.header.Get("Retry-After") != ""; a.status != want || told != (want == http.StatusServiceUnavailable) {
+				t.Errorf("response %+v, want %d", a, want)
+			}
+			receive(t, gone, "the attempt's end")
+		})
+	}
+}
+
 // TestAnsweredByDeadline: a request whose backend does not answer fails at its
 // deadline.
 func TestAnsweredByDeadline(t *testing.T) {
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -114,7 +114,10 @@
 	for _, r := range n.requests {
 		if !r.answered && dueBy.Before(r.deadline) {
 			r.deadline = dueBy
-			r.watchdog.Reset(time.Until(dueBy))
+			r.watchdog.Stop()
+			r.watchdog = time.AfterFunc(time.Until(dueBy), func() {
+				n.post(func() { n.endUnanswered(r) })
+			})
 		}
 	}
 }
