Say in one place what stands in for a missing latency objective

Cause: five places used the objective of 0 as a time; a Send with a time of 0 has no limit of its own in the node, the simulator's adapter and the hollow node alike.

Change: class.objective stands in with the class's deadline, else with the time that the client waits. RetryAfter takes that time, too. The worth of late responses stays: a class without an objective has none. Classes with one decide as before.

--- a/balancer/outlier.go
+++ b/balancer/outlier.go
@@ -60,7 +60,7 @@
 			b.impose(endpoint, Overloaded, timeoutRest)
 		}
 		// A failure counts as a slow response: failing fast must not attract work.
-		b.observeEndpointLatency(endpoint, request.class, max(event.Elapsed, request.class.LatencyObjective))
+		b.observeEndpointLatency(endpoint, request.class, max(event.Elapsed, request.objective()))
 		b.recordFailure(endpoint, event.Outcome)
 	}
 }
@@ -163,7 +163,7 @@
 	}
 	usual := silentFactor * b.latency.mean * request.class.relativeWork
 	timeout := max(b.settings.ConnectTimeout, time.Duration(usual*float64(time.Second)))
-	timeout = min(timeout, request.class.LatencyObjective/3)
+	timeout = min(timeout, request.objective()/3)
 	for _, endpoint := range b.endpoints {
 		if !endpoint.ejected || b.now < endpoint.nextTrialAt || !b.send(request, endpoint, timeout) {
 			continue
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -64,7 +64,7 @@
 	work := request.relativeWork * request.class.relativeWork
 	wait := (endpoint.inFlight/b.concurrency + work) * b.serviceTime.mean / b.warmth(endpoint)
 	checked := b.checksLoad && endpoint.reportedAt >= request.checkedAt
-	if checked && wait > waitShare*request.class.LatencyObjective.Seconds() {
+	if checked && wait > waitShare*request.objective().Seconds() {
 		return max(mode, Overloaded)
 	}
 	return mode
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // overdueFactor is the multiple of the expected latency after which an attempt is no load any more: tails are long.
 const overdueFactor = 10.0
@@ -79,6 +82,16 @@
 	return b.classes[name]
 }
 
+// objective is the time within which a request of the class should be served, whose client waits for so long: the
+// latency objective, or for a class without one all the time that its clients have. All that needs an objective asks
+// here, but for the value of a late response, which a class without one always has.
+func (c *class) objective(patience time.Duration) time.Duration {
+	return cmp.Or(c.LatencyObjective, c.Deadline, patience)
+}
+
+// objective is that of the request's class.
+func (r *request) objective() time.Duration { return r.class.objective(r.deadline - r.arrivedAt) }
+
 // addClass adds a class under a name.
 func (b *Balancer) addClass(name string, settings Class) {
 	added := &class{Class: settings, relativeWork: 1}
@@ -272,7 +285,7 @@
 
 // giveUp gives the final answer to a request that no endpoint served: Reject if allowed, else Fail.
 func (b *Balancer) giveUp(request *request) {
-	retryAfter := b.retryAfter(request.class) // drawn for Fail as well
+	retryAfter := b.retryAfter(request.objective()) // drawn for Fail as well
 	if b.mayReject(request) {
 		b.emit(Reject{ID: request.id, RetryAfter: retryAfter})
 	} else {
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -93,7 +93,7 @@
 		return untilDeadline
 	}
 	needed := b.timeSpent(request).Seconds() + (attemptTimeoutFactor+silentFactor)*usual
-	if b.pastObjective(request, 0) || needed > request.class.LatencyObjective.Seconds() {
+	if b.pastObjective(request, 0) || needed > request.objective().Seconds() {
 		return untilDeadline
 	}
 	return timeout
@@ -106,10 +106,13 @@
 	return timeout >= window || len(request.attempts)+1 >= b.settings.MaxAttempts
 }
 
-// RetryAfter is how long a rejected client of the class should wait, jittered; 0: clients are given no time.
-func (b *Balancer) RetryAfter(class string) time.Duration { return b.retryAfter(b.classByName(class)) }
+// RetryAfter is how long a rejected client of the class should wait, jittered, if it has patience for so long; 0:
+// clients are given no time.
+func (b *Balancer) RetryAfter(class string, patience time.Duration) time.Duration {
+	return b.retryAfter(b.classByName(class).objective(patience))
+}
 
-func (b *Balancer) retryAfter(class *class) time.Duration {
-	wait := time.Duration(retryAfterShare * float64(class.LatencyObjective))
+func (b *Balancer) retryAfter(objective time.Duration) time.Duration {
+	wait := time.Duration(retryAfterShare * float64(objective))
 	return min(b.rng.jitter(wait), b.settings.MaxRetryAfter)
 }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -52,6 +52,7 @@
 		r.rejectUnopened(response{status: http.StatusConflict})
 		return
 	}
+	r.arrival.Timeout = time.Until(r.deadline)
 	limit := n.cfg.Settings.MaxOpenRequests
 	if limit > 0 && len(n.requests) >= limit {
 		r.rejectUnopened(n.rejection(r))
@@ -59,8 +60,8 @@
 	}
 	if !n.responsesDueBy.IsZero() && n.responsesDueBy.Before(r.deadline) {
 		r.deadline = n.responsesDueBy
+		r.arrival.Timeout = time.Until(r.deadline)
 	}
-	r.arrival.Timeout = time.Until(r.deadline)
 	n.requests[r.id()] = r
 	r.watchdog = time.AfterFunc(r.arrival.Timeout+WatchdogDelay, func() {
 		n.post(func() { n.endOverdue(r) })
@@ -78,7 +79,7 @@
 func (n *Node) rejection(r *request) response {
 	return response{
 		status:     http.StatusServiceUnavailable,
-		retryAfter: n.balancer.RetryAfter(r.arrival.Class),
+		retryAfter: n.balancer.RetryAfter(r.arrival.Class, r.arrival.Timeout),
 	}
 }
 
