Clients' connections: one file each for deadlines, arrival times and the read-ahead

The limits of the time to receive a request are in readdeadline.go, when bytes arrived in arrival.go, the buffer of what is read ahead in readaheadbuffer.go; a test's listener stands with the others. Moved, not changed.

--- a/internal/node/arrival_test.go
+++ b/internal/node/arrival_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,32 +21,6 @@
 	heldUpTime = 400 * time.Millisecond
 )
 
-// lateReadListener is a listener whose connections return what they have read only
-// after a delay, as in a process that does not run meanwhile.
-type lateReadListener struct {
-	net.Listener
-	delay *atomic.Int64 // a time.Duration
-}
-
-type lateReadConn struct {
-	*net.TCPConn
-	delay *atomic.Int64
-}
-
-func (l lateReadListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return lateReadConn{c.(*net.TCPConn), l.delay}, nil
-}
-
-func (c lateReadConn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
-	time.Sleep(time.Duration(c.delay.Load()))
-	return n, err
-}
-
 // TestTimeUnreadCounts: a process that is held up reads a request late. The
 // deadline sent to the backend is no more than what is left to the client.
 func TestTimeUnreadCounts(t *testing.T) {
@@ -148,24 +121,3 @@
 		release <- true
 	}
 }
-
-// TestReadAheadDates: bytes that arrive one by one share a date only for a short
-// time, and each read returns bytes of one date.
-func TestReadAheadDates(t *testing.T) {
-	var buffer readAheadBuffer
-	var start time.Time
-	for _, part := range []struct {
-		data string
-		at   time.Duration
-	}{{"ab", 0}, {"c", chunkMergeTime}, {"d", chunkMergeTime + 1}} {
-		buffer.add([]byte(part.data), start.Add(part.at))
-	}
-	var got strings.Builder
-	for b := make([]byte, 2); !buffer.empty(); {
-		n, at := buffer.take(b)
-		fmt.Fprintf(&got, "%s %v, ", b[:n], at.Sub(start))
-	}
-	if want := "ab 0s, c 0s, d 5.000001ms, "; got.String() != want {
-		t.Errorf("reads %q, want %q", got.String(), want)
-	}
-}
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -142,85 +141,6 @@
 	return n, err
 }
 
-// isWatch reports whether a read into b is how net/http watches a connection
-// while a request is open: it reads a single byte.
-func isWatch(b []byte) bool { return len(b) == 1 }
-
-// arrivalTime returns when the bytes arrived at this machine that have just been
-// read from Conn. They may have lain there for a while, in the listener's queue or
-// as the process was not running, and their client's timeout has been running
-// since. The caller holds c.mu.
-func (c *clientConn) arrivalTime() time.Time {
-	// Taken first: what holds the process up from here on makes the result earlier.
-	now := time.Now()
-	if age := sockets.SinceLastReceived(c.Conn); age > 0 {
-		return now.Add(-age)
-	}
-	return cmp.Or(c.queuedSince, now)
-}
-
-// noteReceived records that a part of a request has been received. The first
-// byte starts the request's own deadline, as net/http's time-outs are those of an
-// idle connection up to its fourth byte. The caller holds c.mu.
-func (c *clientConn) noteReceived() {
-	if !c.receivedSinceIdle && !c.requestOpen {
-		c.requestStartedAt = time.Now()
-		c.requestDeadline = c.requestStartedAt.Add(requestReadTimeout)
-		firstDeadline := c.acceptedAt.Add(firstRequestTimeout)
-		if !c.servedBefore && firstDeadline.Before(c.requestDeadline) {
-			c.requestDeadline = firstDeadline
-		}
-		c.applyDeadline()
-	}
-	c.receivedSinceIdle = true
-}
-
-// setRequestDeadline replaces the deadline of the request that is being received
-// and has been rejected.
-func (c *clientConn) setRequestDeadline(deadline time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.requestDeadline = deadline
-	c.requestStartedAt = time.Time{}
-	c.applyDeadline()
-}
-
-// incompleteSince returns when the first byte of the request that is being
-// received was read; zero if there is none.
-func (c *clientConn) incompleteSince() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.requestStartedAt
-}
-
-// tightenDeadline ends the reading of a request that is still incomplete.
-func (c *clientConn) tightenDeadline() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.requestStartedAt.IsZero() {
-		return
-	}
-	c.tightened = true
-	c.requestStartedAt = time.Time{}
-	c.requestDeadline = time.Now()
-	c.applyDeadline()
-}
-
-// wasTightened reports whether tightenDeadline has ended a request.
-func (c *clientConn) wasTightened() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.tightened
-}
-
-// lastReceivedAt returns when the bytes arrived that net/http has read last. What
-// it has parsed of them was sent then or earlier.
-func (c *clientConn) lastReceivedAt() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.receivedAt
-}
-
 // setRequestOpen records whether a request that has been read to its end waits
 // for its response.
 func (c *clientConn) setRequestOpen(open bool) {
@@ -232,43 +152,6 @@
 	c.abortIfFlooded()
 }
 
-// clearRequestTimes forgets the times of the request that was being received.
-// The caller holds c.mu.
-func (c *clientConn) clearRequestTimes() {
-	c.queuedSince = time.Time{}
-	c.requestDeadline = time.Time{}
-	c.requestStartedAt = time.Time{}
-}
-
-// SetReadDeadline sets the deadline that applies while no request is being
-// received.
-func (c *clientConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.httpDeadline = t
-	return c.applyDeadline()
-}
-
-// applyDeadline sets the deadline for reads that the connection's state asks
-// for. The caller holds c.mu.
-func (c *clientConn) applyDeadline() error {
-	switch {
-	case c.readingAhead:
-		return nil // set when Read has stopped reading ahead
-	case c.draining:
-		return c.Conn.SetReadDeadline(pastDeadline)
-	case !c.requestDeadline.IsZero() && !c.interruptedByHTTP():
-		return c.Conn.SetReadDeadline(c.requestDeadline)
-	}
-	return c.Conn.SetReadDeadline(c.httpDeadline)
-}
-
-// interruptedByHTTP reports whether net/http has set its deadline to a time in
-// the distant past, which is how it interrupts a read. The caller holds c.mu.
-func (c *clientConn) interruptedByHTTP() bool {
-	return !c.httpDeadline.IsZero() && !c.httpDeadline.After(c.acceptedAt)
-}
-
 // setActive records that the connection carries a request, to which all bytes
 // read so far belong. They may have been read after the previous request, and
 // the connection drained since: the request has to be answered.
--- a/internal/node/readahead_test.go
+++ b/internal/node/readahead_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestReadAheadIsLimited: what is sent after an open request is read only up to
@@ -121,3 +122,24 @@
 		}
 	}
 }
+
+// TestReadAheadDates: bytes that arrive one by one share a date only for a short
+// time, and each read returns bytes of one date.
+func TestReadAheadDates(t *testing.T) {
+	var buffer readAheadBuffer
+	var start time.Time
+	for _, part := range []struct {
+		data string
+		at   time.Duration
+	}{{"ab", 0}, {"c", chunkMergeTime}, {"d", chunkMergeTime + 1}} {
+		buffer.add([]byte(part.data), start.Add(part.at))
+	}
+	var got strings.Builder
+	for b := make([]byte, 2); !buffer.empty(); {
+		n, at := buffer.take(b)
+		fmt.Fprintf(&got, "%s %v, ", b[:n], at.Sub(start))
+	}
+	if want := "ab 0s, c 0s, d 5.000001ms, "; got.String() != want {
+		t.Errorf("reads %q, want %q", got.String(), want)
+	}
+}
--- a/internal/node/testconn_test.go
+++ b/internal/node/testconn_test.go
@@ -100,6 +100,32 @@
 	return n, err
 }
 
+// lateReadListener is a listener whose connections return what they have read only
+// after a delay, as in a process that does not run meanwhile.
+type lateReadListener struct {
+	net.Listener
+	delay *atomic.Int64 // a time.Duration
+}
+
+type lateReadConn struct {
+	*net.TCPConn
+	delay *atomic.Int64
+}
+
+func (l lateReadListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return lateReadConn{c.(*net.TCPConn), l.delay}, nil
+}
+
+func (c lateReadConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	time.Sleep(time.Duration(c.delay.Load()))
+	return n, err
+}
+
 // interruptedConn is a connection on which something happens between the call of
 // Read and its bytes.
 type interruptedConn struct {
