See a client's departure also where it stands behind unread bytes

Callers saw: a request could be sent for a client that had left over 0.1 s before, where the client had sent more than that request and the node was held up.

Cause: the last look before an attempt asked what the next read would return, which is those bytes and not the end behind them.

Evidence: TestDepartureBehindUnreadBytes, on a connection that nobody reads: neither a close nor a reset was seen within 0.1 s before; both are now.

Change: the look also asks the kernel for the connection's state (TCP_INFO), which changes as the end arrives. Where there is no account all is as before.

--- a/internal/node/departure.go
+++ b/internal/node/departure.go
@@ -21,7 +21,7 @@
 func (c *clientConn) clientLeft(ctx context.Context) bool {
 	for waited := time.Duration(0); ; waited += departurePollInterval {
 		n, err := sockets.Peek(c.Conn)
-		if sockets.Closed(n, err) {
+		if sockets.Closed(n, err) || sockets.PeerClosed(c.Conn) {
 			return true
 		}
 		if n < 1 || waited >= departureCheckTime || !sockets.Sleep(ctx, departurePollInterval) {
@@ -30,8 +30,8 @@
 	}
 }
 
-// clientLeftNow reports whether the end of the client's connection is what a read
-// would return next.
+// clientLeftNow reports whether the client has ended its connection: a read would
+// return the end next, or the kernel knows of one behind what is not read yet.
 func (c *clientConn) clientLeftNow() bool {
-	return sockets.Closed(sockets.Peek(c.Conn))
+	return sockets.Closed(sockets.Peek(c.Conn)) || sockets.PeerClosed(c.Conn)
 }
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -15,6 +15,10 @@
 	"bankshift/internal/sockets"
 )
 
+// departureLimit is how long after a client has left an attempt may still begin, by
+// the operators' terms.
+const departureLimit = 100 * time.Millisecond
+
 // TestClientLeavesAfterSendingMore: a client sends more than its open request
 // and leaves. Its departure stands behind all that in its socket.
 func TestClientLeavesAfterSendingMore(t *testing.T) {
@@ -297,6 +301,30 @@
 	}
 }
 
+// TestDepartureBehindUnreadBytes: a client leaves, and its departure stands behind
+// bytes that the node has not come to read. It is seen all the same.
+func TestDepartureBehindUnreadBytes(t *testing.T) {
+	for name, linger := range map[string]int{"closed": -1, "reset": 0} {
+		t.Run(name, func(t *testing.T) {
+			c, client := connectionPair(t)
+			io.WriteString(client, pipelinedGets(30))
+			waitUntil(t, "the bytes to arrive", func() bool { return !sockets.Quiet(c.Conn) })
+			if c.clientLeftNow() {
+				t.Fatal("the client has left, though its connection is open")
+			}
+			client.(*net.TCPConn).SetLinger(linger)
+			client.Close()
+			leftAt := time.Now()
+			for !c.clientLeftNow() {
+				if time.Since(leftAt) > departureLimit {
+					t.Fatalf("not seen %v after the departure", departureLimit)
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
+
 // TestHalfClosedClient: when a client closes its sending side, net/http cancels
 // the request's context as for a close. A handler that returns without writing
 // would answer it 200.
--- a/internal/sockets/tcpinfo.go
+++ b/internal/sockets/tcpinfo.go
@@ -21,6 +21,17 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond
 }
 
+// PeerClosed reports whether the peer has ended the connection or reset it, by the
+// kernel's account. It shows also where data stands before the end that has not
+// been read, which Peek would find. It reports false where there is no account.
+func PeerClosed(c net.Conn) bool {
+	info := tcpInfo(c)
+	if info == nil {
+		return false
+	}
+	return info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE
+}
+
 // tcpInfo returns the kernel's account of c, nil if there is none.
 func tcpInfo(c net.Conn) *unix.TCPInfo {
 	sc, ok := c.(syscall.Conn)
