--- a/review/standin/discovery.go
+++ b/review/standin/agent.go
@@ -9,19 +9,19 @@
 	"time"
 )
 
-// discovery is a stand-in for the agent: it answers a call for the whole list at
+// agent is a stand-in for the agent of discovery: it answers a call for the whole list at
 // once, and a watch when its wait is over. The list does not change.
-type discovery struct {
+type agent struct {
 	listener net.Listener
 	list     string
 }
 
-func startDiscovery(backends []*backend) (*discovery, error) {
+func startAgent(backends []*backend) (*agent, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	d := &discovery{listener: listener, list: listOf(backends)}
+	d := &agent{listener: listener, list: listOf(backends)}
 	go http.Serve(listener, http.HandlerFunc(d.serveCall))
 	return d, nil
 }
@@ -39,7 +39,7 @@
 	return `{"index":41,"snapshot":true,"endpoints":[` + strings.Join(entries, ",") + `]}`
 }
 
-func (d *discovery) serveCall(w http.ResponseWriter, r *http.Request) {
+func (d *agent) serveCall(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/registry/instances" {
 		http.NotFound(w, r)
 		return
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -22,8 +22,8 @@
 	sockets  int
 }
 
-// node is a process of the project, started with the command of the deploy file.
-type node struct {
+// nodeProcess is a process of the project, started with the command of the deploy file.
+type nodeProcess struct {
 	address string
 	process *exec.Cmd
 	ended   chan struct{} // closed when the process has ended
@@ -77,7 +77,7 @@
 
 // startNode starts a node as the platform does: with /bin/sh -c from the root, the
 // limit of descriptors set, and its log in a file of a temporary folder.
-func startNode(root string, lim limits, d *discovery) (*node, error) {
+func startNode(root string, lim limits, d *agent) (*nodeProcess, error) {
 	command, err := runCommand(root)
 	if err != nil {
 		return nil, err
@@ -101,7 +101,7 @@
 		return nil, err
 	}
 	defer log.Close()
-	n := &node{address: address, folder: folder, ended: make(chan struct{})}
+	n := &nodeProcess{address: address, folder: folder, ended: make(chan struct{})}
 	n.process = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; %s", lim.sockets, command))
 	n.process.Dir = root
 	n.process.Env = append(os.Environ(), "GW_NAME=n0", "GW_LISTEN="+address,
@@ -120,7 +120,7 @@
 }
 
 // awaitReady waits until the node reports that it is ready.
-func (n *node) awaitReady() error {
+func (n *nodeProcess) awaitReady() error {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for range 300 {
 		resp, err := client.Get("http://" + n.address + "/health/ready")
@@ -135,6 +135,17 @@
 	return errors.New("the node did not become ready")
 }
 
+// health asks whether the node is ready, and returns the answer's status or the error.
+func (n *nodeProcess) health(wait time.Duration) string {
+	client := http.Client{Timeout: wait, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + n.address + "/health/ready")
+	if err != nil {
+		return err.Error()
+	}
+	resp.Body.Close()
+	return resp.Status
+}
+
 // started holds the processes that were started, so that none outlives the case.
 var started struct {
 	sync.Mutex
@@ -158,7 +169,7 @@
 }
 
 // isRunning reports whether the process has not ended yet.
-func (n *node) isRunning() bool {
+func (n *nodeProcess) isRunning() bool {
 	select {
 	case <-n.ended:
 		return false
@@ -168,7 +179,7 @@
 }
 
 // stop ends the process and removes its folder.
-func (n *node) stop() {
+func (n *nodeProcess) stop() {
 	n.process.Process.Kill()
 	<-n.ended
 	os.RemoveAll(n.folder)
@@ -176,7 +187,7 @@
 
 // residentMB returns the resident memory of the process in MB: all of it, and the
 // anonymous part alone. Both are 0 if the process has ended.
-func (n *node) residentMB() (all, anonymous float64) {
+func (n *nodeProcess) residentMB() (all, anonymous float64) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
 	if err != nil {
 		return 0, 0
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -9,10 +9,10 @@
 
 // world is a node with its backends and its discovery.
 type world struct {
-	node      *node
-	backends  []*backend
-	discovery *discovery
-	record    *record
+	node     *nodeProcess
+	backends []*backend
+	agent    *agent
+	record   *record
 }
 
 // startWorld starts backends and discovery, and a node with the given limits.
@@ -26,10 +26,10 @@
 		w.backends = append(w.backends, b)
 	}
 	var err error
-	if w.discovery, err = startDiscovery(w.backends); err != nil {
+	if w.agent, err = startAgent(w.backends); err != nil {
 		return nil, err
 	}
-	if w.node, err = startNode(root, lim, w.discovery); err != nil {
+	if w.node, err = startNode(root, lim, w.agent); err != nil {
 		w.stop()
 		return nil, err
 	}
