--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -69,7 +69,7 @@
 	case <-signals:
 	case <-time.After(longestRun):
 	}
-	killStarted()
+	endStarted()
 	fmt.Println("ended early")
 	os.Exit(statusNotRun)
 }
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -111,7 +111,7 @@
 	if err := n.process.Start(); err != nil {
 		return nil, err
 	}
-	killAtExit(n.process.Process)
+	endAtExit(n)
 	go func() {
 		n.process.Wait()
 		close(n.ended)
@@ -146,25 +146,25 @@
 	return resp.Status
 }
 
-// started holds the processes that were started, so that none outlives the case.
+// started holds the nodes that were started, so that none outlives the case.
 var started struct {
 	sync.Mutex
-	processes []*os.Process
+	nodes []*nodeProcess
 }
 
-func killAtExit(p *os.Process) {
+func endAtExit(n *nodeProcess) {
 	started.Lock()
 	defer started.Unlock()
-	started.processes = append(started.processes, p)
+	started.nodes = append(started.nodes, n)
 }
 
-// killStarted ends all processes that were started. One that has ended is not
-// signalled again.
-func killStarted() {
+// endStarted ends all nodes that were started and removes their folders. One that has
+// ended is not signalled again.
+func endStarted() {
 	started.Lock()
 	defer started.Unlock()
-	for _, p := range started.processes {
-		p.Kill()
+	for _, n := range started.nodes {
+		n.stop()
 	}
 }
 
