Reject copies of request IDs that may have run, also after the answer

What callers saw: a bad client that copied the ID of another client's open request got 200 in place of an error, and the request ran twice, order-paper included. Cause: startRequest compared an ID with the open requests alone, and removeIfDone forgot it with the answer. A copy that was sent before the answer but read after it, such as one behind another request on its connection, was a new request. Change: recentIDs remembers the IDs of requests that may have run, in two generations of hashes, and such an ID gets 409. A request that has waited on the machine for longer than clients of any class wait is rejected, so that no copy is older than what is remembered. TestBurstOfIdleConnections and TestManyPipelinedRequests sent the same IDs anew in later rounds, which no client does ("every request gets a new one"); they now use new IDs and check the same.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -74,6 +74,16 @@
 	return clients, available - clients
 }
 
+// longestDeadline returns the longest deadline of all request classes: no client waits
+// longer for its response.
+func (c Config) longestDeadline() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range c.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
+}
+
 // LoadConfig reads the configuration file at path.
 func LoadConfig(path string) (Config, error) {
 	raw, err := readRetrying(func() ([]byte, error) { return os.ReadFile(path) })
--- a/internal/node/connlimit_test.go
+++ b/internal/node/connlimit_test.go
@@ -16,7 +16,7 @@
 func TestBurstOfIdleConnections(t *testing.T) {
 	backend, _ := startOKBackend(t)
 	n := startNodeOn(t, newListener(t), func(c *Config) { c.Sockets = 128 }, backend)
-	for range 3 {
+	for round := range 3 {
 		var idleClients sync.WaitGroup
 		for range 5 * n.frontend.maxConnections {
 			idleClients.Add(1)
@@ -36,7 +36,7 @@
 			for tries := 1; ; tries++ {
 				began := time.Now()
 				c := n.dial(t)
-				c.sendPost(t, fmt.Sprint("q", i), "20")
+				c.sendPost(t, fmt.Sprintf("q%d-%d", round, i), "20")
 				silent := time.Since(began) // upper bound; after evictionGrace this connection may itself be evicted
 				resp, err := http.ReadResponse(c.read, nil)
 				if err == nil && resp.StatusCode == http.StatusOK {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -49,12 +49,10 @@
 		maxConnections: maxConnections,
 		idempotency:    map[string]balancer.Idempotency{},
 	}
-	longestDeadline := time.Duration(0)
 	for _, class := range n.cfg.Settings.Classes {
 		f.idempotency[class.Name] = class.Idempotency
-		longestDeadline = max(longestDeadline, class.Deadline)
 	}
-	f.phases = newShutdownPhases(longestDeadline)
+	f.phases = newShutdownPhases(n.longestDeadline)
 	f.keepServing = func(openConnections func() int) { f.phases.waitForClients(openConnections) }
 	return f
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,9 @@
 	frontend   *frontend
 	runContext context.Context // canceled when the node has shut down; set by Run
 
+	longestDeadline time.Duration // of all classes
+	maxRequestAge   time.Duration // a request that has waited for longer is rejected
+
 	// Once Run has started the loop, only the loop uses the fields below.
 
 	discovery        *discovery.Client
@@ -44,12 +47,15 @@
 	balancer         *balancer.Balancer
 	directory        discovery.Directory
 	requests         map[balancer.RequestID]*request
+	recentIDs        *recentIDs       // of requests that may have run and are no longer in requests
 	pendingEvents    []balancer.Event // events to be handled in order; the first is being handled
 	responsesDueBy   time.Time        // the latest deadline of all requests during a shutdown; zero before it
 }
 
 // New returns a node; Run starts it.
 func New(cfg Config, log *slog.Logger) *Node {
+	longestDeadline := cfg.longestDeadline()
+	maxRequestAge := longestDeadline + maxRequestAgeMargin
 	n := &Node{
 		cfg:       cfg,
 		log:       log,
@@ -59,6 +65,10 @@
 		balancer:  balancer.New(cfg.Settings, cfg.Seed),
 		directory: discovery.Directory{Log: log},
 		requests:  map[balancer.RequestID]*request{},
+		recentIDs: newRecentIDs(maxRequestAge + responseWriteTimeout),
+
+		longestDeadline: longestDeadline,
+		maxRequestAge:   maxRequestAge,
 	}
 	clients, endpoints := cfg.Connections()
 	n.pool = upstream.NewPool(upstream.ConfigFor(cfg.Settings, endpoints))
--- a/internal/node/parse.go
+++ b/internal/node/parse.go
@@ -54,9 +54,10 @@
 		return nil, err
 	}
 	return &request{
-		arrival:  arrival,
-		deadline: receivedAt.Add(timeout - ResponseMargin),
-		response: make(chan response, 1),
+		arrival:    arrival,
+		receivedAt: receivedAt,
+		deadline:   receivedAt.Add(timeout - ResponseMargin),
+		response:   make(chan response, 1),
 		upstream: &upstream.Request{
 			Method: r.Method,
 			URL:    originURL(r.URL),
--- a/internal/node/readahead_test.go
+++ b/internal/node/readahead_test.go
@@ -66,11 +66,14 @@
 	backend, _ := startOKBackend(t)
 	n := startNode(t, backend)
 	c := n.dial(t)
-	var text strings.Builder
-	for i := range count {
-		text.WriteString(postText(fmt.Sprint("q", i), "20"))
+	text := func(idPrefix string) string {
+		var b strings.Builder
+		for i := range count {
+			b.WriteString(postText(fmt.Sprint(idPrefix, i), "20"))
+		}
+		return b.String()
 	}
-	go io.WriteString(c, text.String())
+	go io.WriteString(c, text("q"))
 	for i := range count {
 		resp, err := http.ReadResponse(c.read, nil)
 		if err != nil {
@@ -85,7 +88,7 @@
 	readAheadBytes := &n.frontend.connections.readAheadBytes
 	waitUntil(t, "the end of what is read ahead", func() bool { return readAheadBytes.Load() == 0 })
 	early := n.dial(t)
-	io.WriteString(early, text.String()) // the IDs are no longer in use
+	io.WriteString(early, text("r"))
 	early.Close()
 	waitUntil(t, "the connection to end", func() bool { return n.frontend.connections.openConnections() == 0 })
 	if left := readAheadBytes.Load(); left != 0 {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -16,14 +16,19 @@
 	// WatchdogDelay is how long after a request's deadline the node ends the
 	// request if the balancer has not ended it by then.
 	WatchdogDelay = 4 * time.Millisecond
+
+	// maxRequestAgeMargin is added to the longest deadline of all classes. No client of
+	// these classes waits until a request of that age is read.
+	maxRequestAgeMargin = 5 * time.Second
 )
 
 // request is a client's request, from its arrival until it is answered and its
 // attempts have ended. The loop owns it, except where a field says otherwise.
 type request struct {
-	arrival  balancer.RequestArrived
-	upstream *upstream.Request
-	deadline time.Time // when the response is due
+	arrival    balancer.RequestArrived
+	upstream   *upstream.Request
+	receivedAt time.Time // when its head arrived at this machine
+	deadline   time.Time // when the response is due
 
 	// response receives the final response. It is buffered, so that the loop does
 	// not block on it. The goroutine that serves the client reads it.
@@ -49,12 +54,16 @@
 // startRequest admits a client's request and passes it to the balancer. The
 // response is sent on r.response.
 func (n *Node) startRequest(r *request) {
-	if n.requests[r.id()] != nil {
-		// Two open requests with the same ID would receive each other's responses.
+	if n.isCopy(r) {
 		r.rejectUntracked(response{status: http.StatusConflict})
 		return
 	}
 	r.arrival.Timeout = time.Until(r.deadline)
+	if time.Since(r.receivedAt) > n.maxRequestAge {
+		// It may be a copy of a request that recentIDs has forgotten.
+		r.rejectUntracked(n.rejection(r))
+		return
+	}
 	limit := n.cfg.Settings.MaxOpenRequests
 	if limit > 0 && len(n.requests) >= limit {
 		r.rejectUntracked(n.rejection(r))
@@ -71,6 +80,15 @@
 	n.handle(r.arrival)
 }
 
+// isCopy reports whether a request has the ID of another one, which is open or may have
+// run. Every request gets an ID of its own, also a client's retry. Two open requests
+// with the same ID would receive each other's responses. A copy of a request that may
+// have run must not run again, also if it is read after that request has ended: it may
+// have waited behind another request on its connection.
+func (n *Node) isCopy(r *request) bool {
+	return n.requests[r.id()] != nil || n.recentIDs.contains(r.id())
+}
+
 // rejectUntracked answers a request that is not admitted: it is not in n.requests,
 // and the balancer is not informed of it.
 func (r *request) rejectUntracked(resp response) {
@@ -148,9 +166,14 @@
 	n.removeIfDone(r)
 }
 
-// removeIfDone removes a request that is answered and has no attempt running.
+// removeIfDone removes a request that is answered and has no attempt running. Its ID
+// is remembered if the request may have run.
 func (n *Node) removeIfDone(r *request) {
-	if r.answered && r.runningAttempts == 0 {
-		delete(n.requests, r.id())
+	if !r.answered || r.runningAttempts > 0 {
+		return
+	}
+	delete(n.requests, r.id())
+	if r.upstream.MayBeSent() {
+		n.recentIDs.add(r.id(), time.Now())
 	}
 }
