End requests whose first part was read together with the request before

What callers saw: 200 clients that sent a whole request and a part of a second one in one write, and stayed, held all slots of a node with 256 descriptors for good; no usual client and no readiness check got an answer. Cause: the second request's head lies in net/http's buffer when the first request has been answered. No byte read from the connection started its time limit or marked it as incomplete, and net/http clears its own limit after the head, so neither the limit, nor eviction, nor expiry ended the connection. Change: setActive, called when a head has been read, starts the limit if no byte has. The limit counts from the arrival of the request's first bytes, also of those received while an earlier request was open, and leaves at least 200 ms to read what has arrived.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -41,9 +41,10 @@
 	// being received.
 	requestDeadline time.Time
 
-	// requestStartedAt is when the first byte of the request that is being
-	// received was read. Zero: no request is being received, or it has been
-	// rejected or expired.
+	// requestStartedAt is since when the node waits for the rest of the request
+	// that is being received: since its first byte was read, or since the
+	// request before it was answered, if that was later. Zero: no request is
+	// being received, or it has been rejected or expired.
 	requestStartedAt time.Time
 
 	// expiredForSlot: the deadline of a request being received was moved to the
@@ -67,9 +68,9 @@
 	// became idle.
 	receivedSinceIdle bool
 
-	// nextRequestStarted: a byte of the next request has been received while a
-	// request was open.
-	nextRequestStarted bool
+	// nextRequestAt is when a byte of the next request was received while a
+	// request was open. Zero: none has been.
+	nextRequestAt time.Time
 
 	// draining: nothing more may be read; reads fail, so that net/http closes
 	// the connection.
@@ -136,12 +137,10 @@
 	if n == 0 {
 		return n, err
 	}
-	if !isBackgroundRead(b) {
-		c.receivedAt = c.arrivalTime()
-	}
-	c.noteReceived()
+	receivedAt := c.arrivalTime()
+	c.noteReceived(time.Now())
 	c.stopDraining() // bytes that arrived while the connection was being drained must be answered
-	c.startReadAhead(b)
+	c.noteRead(b, receivedAt)
 	return n, err
 }
 
@@ -156,14 +155,16 @@
 	c.abortIfFlooded()
 }
 
-// setActive records that the connection carries a request, to which all bytes
-// read so far belong. These bytes may have been read right after the previous
-// request, and the connection may have been drained since. Draining stops,
-// because the request must be answered.
+// setActive records that the connection carries a request whose head has been read,
+// and to which all bytes read so far belong. These bytes may have been read together
+// with the previous request, so that no read has started the request's deadline, and
+// the connection may have been drained since. Draining stops, because the request must
+// be answered.
 func (c *clientConn) setActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.nextRequestStarted = false
+	c.nextRequestAt = time.Time{}
+	c.noteReceived(c.receivedAt)
 	c.stopDraining()
 }
 
@@ -174,8 +175,11 @@
 	c.receivedSinceIdle = false
 	c.servedBefore = true
 	c.clearRequestTimes()
-	if c.nextRequestStarted || !c.readAhead.empty() {
-		c.noteReceived()
+	switch {
+	case !c.nextRequestAt.IsZero():
+		c.noteReceived(c.nextRequestAt)
+	case !c.readAhead.empty():
+		c.noteReceived(c.readAhead.oldest())
 	}
 }
 
--- a/internal/node/clientconn_test.go
+++ b/internal/node/clientconn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -169,6 +170,77 @@
 	}
 }
 
+// TestStalledSecondRequest guards against clients that hold a connection by sending a
+// request and a part of a second one, in one write or while the first one is open. The
+// part may lie in net/http's buffer, or be read ahead, when the first request has been
+// answered. Such a client gets an error or a close within 3 s of the second request's
+// first byte.
+func TestStalledSecondRequest(t *testing.T) {
+	t.Parallel()
+	second := strings.Replace(postText("second", "20"), "Content-Length: 0", "Content-Length: 9", 1) + "part"
+	head := strings.Index(second, "\r\n\r\n") + len("\r\n\r\n")
+	for _, firstTakes := range []time.Duration{0, 600 * time.Millisecond} { // until the first request is answered
+		for _, sameWrite := range []bool{true, false} {
+			for name, part := range map[string]string{"half a head": second[:head/2], "a head": second[:head], "half a body": second} {
+				t.Run(fmt.Sprintf("%s, first request takes %v, same write %v", name, firstTakes, sameWrite), func(t *testing.T) {
+					t.Parallel()
+					backend, received, release := startHoldingBackend(t, "first")
+					n := startNode(t, backend)
+					longestPause := watchPauses(t)
+					c := n.dial(t)
+					first, later := requestText("pagar", "first"), part
+					if sameWrite {
+						first, later = first+part, ""
+					}
+					io.WriteString(c, first)
+					from := time.Now()
+					receive(t, received, "the first request")
+					if !sameWrite {
+						from = time.Now()
+						io.WriteString(c, later)
+					}
+					time.Sleep(firstTakes)
+					release["first"] <- true
+					if s := c.status(t); s != http.StatusOK {
+						t.Errorf("the first request is answered %d, want 200", s)
+					}
+					c.SetReadDeadline(from.Add(2 * rejectionLimit))
+					resp, err := http.ReadResponse(c.read, nil)
+					if took := time.Since(from); took > rejectionLimit+longestPause() || err == nil && resp.StatusCode < 400 || isTimeout(err) {
+						t.Errorf("%v, %v after %v, want an error or a close within %v", resp, err, took, rejectionLimit)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestLongSecondRequestIsServed guards against rejecting a request that was sent whole,
+// right behind another one, but is read only after the time for which a node waits for
+// an incomplete request: the request before it takes longer than that.
+func TestLongSecondRequestIsServed(t *testing.T) {
+	t.Parallel()
+	for _, bodySize := range []int{4, maxBodyBytes} {
+		t.Run(fmt.Sprint(bodySize, " bytes"), func(t *testing.T) {
+			t.Parallel()
+			backend, received, release := startHoldingBackend(t, "first", "second")
+			n := startNode(t, backend)
+			c := n.dial(t)
+			second := strings.Replace(requestText("pagar", "second"), "Content-Length: 0", fmt.Sprint("Content-Length: ", bodySize), 1)
+			io.WriteString(c, requestText("pagar", "first")+second+strings.Repeat("x", bodySize))
+			receive(t, received, "the first request")
+			time.Sleep(requestReadTimeout + 200*time.Millisecond)
+			release["first"] <- true
+			release["second"] <- true
+			for _, id := range []string{"first", "second"} {
+				if s := c.status(t); s != http.StatusOK {
+					t.Errorf("the %s request is answered %d, want 200", id, s)
+				}
+			}
+		})
+	}
+}
+
 // TestSlowRequestIsServed guards against closing a connection on which a
 // request has begun. The request begins just before its connection would be
 // closed for being silent, and arrives in two parts. The connection is no
--- a/internal/node/eviction_test.go
+++ b/internal/node/eviction_test.go
@@ -112,10 +112,13 @@
 func TestStalledRequestsExpire(t *testing.T) {
 	const clientTimeout = time.Second
 	backend, _ := startOKBackend(t)
+	body := strings.Replace(postText("stalled", "20"), "Content-Length: 0", "Content-Length: 9", 1) + "part"
 	for name, part := range map[string]string{
 		"heads":  "GET /api/x HTTP/1.1\r\nHost: app",
-		"bodies": strings.Replace(postText("stalled", "20"), "Content-Length: 0", "Content-Length: 9", 1) + "part",
+		"bodies": body,
 		"a byte": "G",
+		// net/http reads both requests at once and has the head of the second one when it has served the first.
+		"second bodies": "GET /health/live HTTP/1.1\r\nHost: app.svc\r\n\r\n" + body,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -17,6 +17,7 @@
 const (
 	firstByteTimeout    = 2 * time.Second         // for a new connection to start a request
 	requestReadTimeout  = 2500 * time.Millisecond // for a whole request, from its first byte
+	minRequestReadTime  = 200 * time.Millisecond  // for the rest of a request that waited for that long behind another one
 	firstRequestTimeout = 2800 * time.Millisecond // for the whole first request, from when the connection has a slot
 
 	// idleTimeout is for a connection between requests. The start of the next request
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -22,20 +22,25 @@
 func (c *clientConn) takeReadAhead(b []byte) int {
 	n, receivedAt := c.readAhead.take(b)
 	c.limiter.readAheadBytes.Add(int64(-n))
-	if !isBackgroundRead(b) {
-		c.receivedAt = receivedAt
-	}
-	c.startReadAhead(b)
+	c.noteRead(b, receivedAt)
 	return n
 }
 
-// startReadAhead starts readAheadLoop if a read into b was one by which
-// net/http monitors the connection. The caller holds c.mu.
-func (c *clientConn) startReadAhead(b []byte) {
-	if !isBackgroundRead(b) {
-		return
+// noteRead records that net/http has read bytes into b that arrived at the given time.
+// The caller holds c.mu.
+func (c *clientConn) noteRead(b []byte, receivedAt time.Time) {
+	if isBackgroundRead(b) {
+		c.startReadAhead(receivedAt)
+	} else {
+		c.receivedAt = receivedAt
 	}
-	c.nextRequestStarted = true
+}
+
+// startReadAhead starts readAheadLoop after net/http has read the byte by which it
+// monitors the connection. This byte of the next request was received at the given
+// time. The caller holds c.mu.
+func (c *clientConn) startReadAhead(receivedAt time.Time) {
+	c.nextRequestAt = receivedAt
 	if c.readingAhead || c.err != nil || c.readAheadFull() {
 		return
 	}
--- a/internal/node/readaheadbuffer.go
+++ b/internal/node/readaheadbuffer.go
@@ -25,6 +25,9 @@
 
 func (r *readAheadBuffer) empty() bool { return r.size == 0 }
 
+// oldest returns when the first of the bytes arrived. The buffer must not be empty.
+func (r *readAheadBuffer) oldest() time.Time { return r.chunks[0].receivedAt }
+
 // add appends a copy of data that arrived at receivedAt.
 func (r *readAheadBuffer) add(data []byte, receivedAt time.Time) {
 	r.size += len(data)
--- a/internal/node/readdeadline.go
+++ b/internal/node/readdeadline.go
@@ -2,22 +2,36 @@
 
 import "time"
 
-// noteReceived records that a part of a request has been received. The first
-// byte starts requestDeadline, because net/http applies its timeouts for idle
-// connections up to the fourth byte of a request. The caller holds c.mu.
-func (c *clientConn) noteReceived() {
+// noteReceived records that a part of a request has been received at the given time.
+// The first part starts requestDeadline, because net/http applies its timeouts for
+// idle connections up to the fourth byte of a request, and none at all to its body.
+// That part may have been received while an earlier request was open. The caller
+// holds c.mu.
+func (c *clientConn) noteReceived(receivedAt time.Time) {
 	if !c.receivedSinceIdle && !c.requestOpen {
 		c.requestStartedAt = time.Now()
-		c.requestDeadline = c.requestStartedAt.Add(requestReadTimeout)
-		firstDeadline := c.acceptedAt.Add(firstRequestTimeout)
-		if !c.servedBefore && firstDeadline.Before(c.requestDeadline) {
-			c.requestDeadline = firstDeadline
-		}
+		c.requestDeadline = c.readDeadline(receivedAt)
 		c.applyDeadline()
 	}
 	c.receivedSinceIdle = true
 }
 
+// readDeadline returns when a request whose first part was received at the given time
+// must be complete. Bytes that have arrived meanwhile can still be read by then. The
+// caller holds c.mu.
+func (c *clientConn) readDeadline(receivedAt time.Time) time.Time {
+	deadline := receivedAt.Add(requestReadTimeout)
+	firstDeadline := c.acceptedAt.Add(firstRequestTimeout)
+	if !c.servedBefore && firstDeadline.Before(deadline) {
+		deadline = firstDeadline
+	}
+	earliest := c.requestStartedAt.Add(minRequestReadTime)
+	if deadline.Before(earliest) {
+		return earliest
+	}
+	return deadline
+}
+
 // setRequestDeadline replaces the deadline of a request that has been rejected
 // while it is still being received.
 func (c *clientConn) setRequestDeadline(deadline time.Time) {
@@ -28,8 +42,8 @@
 	c.applyDeadline()
 }
 
-// incompleteSince returns requestStartedAt: when the first byte of the request
-// that is being received was read, or zero if there is no such request.
+// incompleteSince returns requestStartedAt: since when the node waits for the rest of
+// the request that is being received, or zero if there is no such request.
 func (c *clientConn) incompleteSince() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
