Soak: bad clients also stop in a request behind a valid one

Cause: no soak client sent a part of a request in the same write as a whole one, so the soak could not find the connections that were never ended. Change: one in eight bad requests comes behind a valid request, and there is a bad request that stops in its body. Both have to get an error or a close within 3 s.

--- a/cmd/bankshift/soak_bad_client_test.go
+++ b/cmd/bankshift/soak_bad_client_test.go
@@ -17,6 +17,9 @@
 // is expected. It must not reach a backend as a request (request smuggling).
 const smuggledRequest = "GET /api/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: hidden\r\nX-Class: retryable\r\nX-Deadline: 1\r\n\r\n"
 
+// livenessRequest is a valid request that bad clients put before another text.
+const livenessRequest = "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n"
+
 // badRequestTexts returns the texts that bad clients send: malformed, incomplete or
 // ambiguous requests. None of them begins with a request that may be served.
 func badRequestTexts(id string) []string {
@@ -32,6 +35,7 @@
 		strings.Replace(head, "X-Deadline: 1", "X-Deadline: soon", 1) + "Content-Length: 4\r\n\r\nbody",
 		strings.Replace(head, "fragile", "nobody", 1) + "Content-Length: 4\r\n\r\nbody",
 		strings.Replace(head, "X-Request-Id", "X-Nothing", 1) + "Content-Length: 4\r\n\r\nbody",
+		head + "Content-Length: 9\r\n\r\nhalf",
 		head[:len(head)/2],
 		"G",
 		"",
@@ -60,7 +64,11 @@
 		}
 		texts := badRequestTexts(fmt.Sprintf("bad-%d-%d", number, k))
 		i := s.draw(len(texts))
-		if !s.sendBadRequest(address, i, texts[i]) {
+		first := ""
+		if texts[i] != "" && s.draw(8) == 0 {
+			first = livenessRequest
+		}
+		if !s.sendBadRequest(address, i, first, texts[i]) {
 			return
 		}
 	}
@@ -68,8 +76,9 @@
 
 // sendBadRequest sends a text and checks that the node answers with an error status
 // or closes the connection within 3 s, and maxNodePause more, as the node may be
-// paused. It returns false if it cannot connect.
-func (s *soakRun) sendBadRequest(address string, number int, text string) bool {
+// paused. first is a valid request that is sent in the same write before the text,
+// empty if there is none. sendBadRequest returns false if it cannot connect.
+func (s *soakRun) sendBadRequest(address string, number int, first, text string) bool {
 	const limit = 3 * time.Second
 	began := time.Now()
 	c, err := net.Dial("tcp", address)
@@ -78,15 +87,27 @@
 	}
 	defer c.Close()
 	c.SetDeadline(began.Add(limit + maxNodePause))
-	io.WriteString(c, text) // the write may fail, as the node may close the connection early
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	io.WriteString(c, first+text) // the write may fail, as the node may close the connection early
+	read := bufio.NewReader(c)
+	if first != "" {
+		skipResponse(read)
+	}
+	resp, err := http.ReadResponse(read, nil)
 	s.locked(func() {
 		s.counts["bad requests"]++
 		served := err == nil && resp.StatusCode < 400
 		late := errors.Is(err, os.ErrDeadlineExceeded) && !s.over
 		if served || late {
-			s.recordViolation("bad request %d: response %v, error %v after %v, want an error status or a closed connection in time", number, resp, err, time.Since(began))
+			s.recordViolation("bad request %d, behind %d bytes: response %v, error %v after %v, want an error status or a closed connection in time",
+				number, len(first), resp, err, time.Since(began))
 		}
 	})
 	return true
 }
+
+// skipResponse reads a response and its body. An error shows in the next read as well.
+func skipResponse(r *bufio.Reader) {
+	if resp, err := http.ReadResponse(r, nil); err == nil {
+		io.Copy(io.Discard, resp.Body)
+	}
+}
