Node: one function decides which requests are not admitted

Cause: startRequest had grown to five steps, three of which reject. Change: Node.refuse returns the response to a request that is not admitted; rejectUntracked went. Result: the tests of requests, rejections and shutdown pass under the race detector.

--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -54,19 +54,11 @@
 // startRequest admits a client's request and passes it to the balancer. The
 // response is sent on r.response.
 func (n *Node) startRequest(r *request) {
-	if n.isCopy(r) {
-		r.rejectUntracked(response{status: http.StatusConflict})
-		return
-	}
 	r.arrival.Timeout = time.Until(r.deadline)
-	if time.Since(r.receivedAt) > n.maxRequestAge {
-		// It may be a copy of a request that recentIDs has forgotten.
-		r.rejectUntracked(n.rejection(r))
-		return
-	}
-	limit := n.cfg.Settings.MaxOpenRequests
-	if limit > 0 && len(n.requests) >= limit {
-		r.rejectUntracked(n.rejection(r))
+	if refusal, ok := n.refuse(r); ok {
+		// The request is not in n.requests, and the balancer is not informed of it.
+		r.answered = true
+		r.response <- refusal
 		return
 	}
 	if !n.responsesDueBy.IsZero() && n.responsesDueBy.Before(r.deadline) {
@@ -80,6 +72,21 @@
 	n.handle(r.arrival)
 }
 
+// refuse returns the response to a request that must not be admitted. It returns false
+// if the request may be admitted.
+func (n *Node) refuse(r *request) (response, bool) {
+	limit := n.cfg.Settings.MaxOpenRequests
+	switch {
+	case n.isCopy(r):
+		return response{status: http.StatusConflict}, true
+	case time.Since(r.receivedAt) > n.maxRequestAge:
+		return n.rejection(r), true // it may be a copy of a request that recentIDs has forgotten
+	case limit > 0 && len(n.requests) >= limit:
+		return n.rejection(r), true
+	}
+	return response{}, false
+}
+
 // isCopy reports whether a request has the ID of another one, which is open or may have
 // run. Every request gets an ID of its own, also a client's retry. Two open requests
 // with the same ID would receive each other's responses. A copy of a request that may
@@ -89,13 +96,6 @@
 	return n.requests[r.id()] != nil || n.recentIDs.contains(r.id())
 }
 
-// rejectUntracked answers a request that is not admitted: it is not in n.requests,
-// and the balancer is not informed of it.
-func (r *request) rejectUntracked(resp response) {
-	r.answered = true
-	r.response <- resp
-}
-
 // rejection returns the response to a request that has not been sent to any
 // endpoint.
 func (n *Node) rejection(r *request) response {
