simwire: decode all events through one generic decoder

Change: decoder makes an eventDecoder of a type's conversion; the JSON objects are named types with one method an event.

--- a/internal/simwire/decode.go
+++ b/internal/simwire/decode.go
@@ -9,17 +9,32 @@
 	"bankshift/internal/loadreport"
 )
 
+// eventDecoder decodes an event for a balancer.
+type eventDecoder func(json.RawMessage) (balancer.Event, error)
+
 // eventDecoders maps the name on the wire of each event for a balancer to the
 // event's decoder.
-var eventDecoders = map[string]func(json.RawMessage) (balancer.Event, error){
-	"submit":        decodeRequestArrived,
-	"attempt_end":   decodeAttemptEnded,
-	"streaming":     decodeStreamStarted,
-	"abandoned":     decodeRequestAbandoned,
-	"probe_result":  decodeHealthCheckEnded,
-	"due":           decodeTimerFired,
-	"note_from":     decodeMessageReceived,
-	"roster_change": decodeEndpointUpdate,
+var eventDecoders = map[string]eventDecoder{
+	"submit":        decoder((*requestJSON).arrived),
+	"attempt_end":   decoder((*attemptJSON).ended),
+	"streaming":     decoder((*attemptJSON).streamStarted),
+	"abandoned":     decoder((*abandonedJSON).event),
+	"probe_result":  decoder((*attemptJSON).healthCheckEnded),
+	"due":           decoder((*timerJSON).fired),
+	"note_from":     decoder((*messageJSON).received),
+	"roster_change": decoder((*endpointUpdateJSON).update),
+}
+
+// decoder returns an eventDecoder for JSON objects of type J, which convert turns into
+// events.
+func decoder[J any](convert func(*J) (balancer.Event, error)) eventDecoder {
+	return func(raw json.RawMessage) (balancer.Event, error) {
+		var in J
+		if err := json.Unmarshal(raw, &in); err != nil {
+			return nil, err
+		}
+		return convert(&in)
+	}
 }
 
 // decodeInput decodes the event that has this name on the wire. The events up and
@@ -47,6 +62,7 @@
 	flagWrite    = 4
 )
 
+// requestJSON has the keys of the event that a request has arrived.
 type requestJSON struct {
 	ID       *string `json:"req"`
 	Class    string  `json:"band"`
@@ -57,11 +73,7 @@
 	Flags    int     `json:"flags"`
 }
 
-func decodeRequestArrived(raw json.RawMessage) (balancer.Event, error) {
-	var in requestJSON
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return nil, err
-	}
+func (in *requestJSON) arrived() (balancer.Event, error) {
 	id, err := required("req", in.ID)
 	if err != nil {
 		return nil, err
@@ -103,11 +115,7 @@
 	endpoint balancer.EndpointID
 }
 
-func decodeAttemptEnded(raw json.RawMessage) (balancer.Event, error) {
-	var in attemptJSON
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return nil, err
-	}
+func (in *attemptJSON) ended() (balancer.Event, error) {
 	attempt, err := in.attempt()
 	if err != nil {
 		return nil, err
@@ -127,11 +135,7 @@
 	}, nil
 }
 
-func decodeStreamStarted(raw json.RawMessage) (balancer.Event, error) {
-	var in attemptJSON
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return nil, err
-	}
+func (in *attemptJSON) streamStarted() (balancer.Event, error) {
 	attempt, err := in.attempt()
 	if err != nil {
 		return nil, err
@@ -144,11 +148,7 @@
 	}, nil
 }
 
-func decodeHealthCheckEnded(raw json.RawMessage) (balancer.Event, error) {
-	var in attemptJSON
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return nil, err
-	}
+func (in *attemptJSON) healthCheckEnded() (balancer.Event, error) {
 	endpoint, err := required("backend", in.Endpoint)
 	if err != nil {
 		return nil, err
@@ -167,16 +167,16 @@
 
 // attempt returns the attempt that the event is about. It returns a *MissingKeyError if backend, req or leg is
 // absent.
-func (a *attemptJSON) attempt() (attemptRef, error) {
-	endpoint, err := required("backend", a.Endpoint)
+func (in *attemptJSON) attempt() (attemptRef, error) {
+	endpoint, err := required("backend", in.Endpoint)
 	if err != nil {
 		return attemptRef{}, err
 	}
-	id, err := required("req", a.ID)
+	id, err := required("req", in.ID)
 	if err != nil {
 		return attemptRef{}, err
 	}
-	number, err := required("leg", a.Attempt)
+	number, err := required("leg", in.Attempt)
 	if err != nil {
 		return attemptRef{}, err
 	}
@@ -195,8 +195,8 @@
 	14: balancer.ConnectFailed,
 }
 
-func (a *attemptJSON) outcome() (balancer.Outcome, error) {
-	code, err := required("disposition", a.Outcome)
+func (in *attemptJSON) outcome() (balancer.Outcome, error) {
+	code, err := required("disposition", in.Outcome)
 	if err != nil {
 		return 0, err
 	}
@@ -227,13 +227,12 @@
 	return &report
 }
 
-func decodeRequestAbandoned(raw json.RawMessage) (balancer.Event, error) {
-	var in struct {
-		ID *string `json:"req"`
-	}
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return nil, err
-	}
+// abandonedJSON has the keys of the event that a request's client has left.
+type abandonedJSON struct {
+	ID *string `json:"req"`
+}
+
+func (in *abandonedJSON) event() (balancer.Event, error) {
 	id, err := required("req", in.ID)
 	if err != nil {
 		return nil, err
@@ -241,13 +240,12 @@
 	return balancer.RequestAbandoned{ID: balancer.RequestID(id)}, nil
 }
 
-func decodeTimerFired(raw json.RawMessage) (balancer.Event, error) {
-	var in struct {
-		Token *int64 `json:"label"`
-	}
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return nil, err
-	}
+// timerJSON has the keys of the event that a timer has fired.
+type timerJSON struct {
+	Token *int64 `json:"label"`
+}
+
+func (in *timerJSON) fired() (balancer.Event, error) {
 	token, err := required("label", in.Token)
 	if err != nil {
 		return nil, err
@@ -255,14 +253,13 @@
 	return balancer.TimerFired{Token: token}, nil
 }
 
-func decodeMessageReceived(raw json.RawMessage) (balancer.Event, error) {
-	var in struct {
-		From *int   `json:"from"`
-		Data []byte `json:"bytes"`
-	}
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return nil, err
-	}
+// messageJSON has the keys of the event that a message has arrived.
+type messageJSON struct {
+	From *int   `json:"from"`
+	Data []byte `json:"bytes"`
+}
+
+func (in *messageJSON) received() (balancer.Event, error) {
 	from, err := required("from", in.From)
 	if err != nil {
 		return nil, err
--- a/internal/simwire/endpoints.go
+++ b/internal/simwire/endpoints.go
@@ -1,7 +1,6 @@
 package simwire
 
 import (
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"time"
@@ -38,11 +37,7 @@
 	StartedAt   int64   `json:"ready_at_ns"`
 }
 
-func decodeEndpointUpdate(raw json.RawMessage) (balancer.Event, error) {
-	var in endpointUpdateJSON
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return nil, err
-	}
+func (in *endpointUpdateJSON) update() (balancer.Event, error) {
 	kind, ok := updateKinds[in.Kind]
 	if !ok {
 		return nil, &UnknownValueError{Key: "how", Value: strconv.Quote(in.Kind)}
