Node: no promise of no effect to a request that is too old

Cause: a request older than maxRequestAge got 503, which says that a repetition does no harm; it may be a copy of a request that has run and whose ID is forgotten, and a request that is not idempotent must not be refused then. Change: it gets 408, a failure. Node no longer stores the longest deadline, which only the age and the shutdown's phases need.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -53,7 +53,7 @@
 	for _, class := range n.cfg.Settings.Classes {
 		f.idempotency[class.Name] = class.Idempotency
 	}
-	f.phases = newShutdownPhases(n.longestDeadline)
+	f.phases = newShutdownPhases(n.cfg.longestDeadline())
 	f.keepServing = func(openConnections func() int) { f.phases.waitForClients(openConnections) }
 	return f
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,8 +37,9 @@
 	frontend   *frontend
 	runContext context.Context // canceled when the node has shut down; set by Run
 
-	longestDeadline time.Duration // of all classes
-	maxRequestAge   time.Duration // a request that has waited for longer is rejected
+	// maxRequestAge is how long a request may have waited on this machine; an older one
+	// is rejected.
+	maxRequestAge time.Duration
 
 	// Once Run has started the loop, only the loop uses the fields below.
 
@@ -54,21 +55,18 @@
 
 // New returns a node; Run starts it.
 func New(cfg Config, log *slog.Logger) *Node {
-	longestDeadline := cfg.longestDeadline()
-	maxRequestAge := longestDeadline + maxRequestAgeMargin
+	maxRequestAge := cfg.longestDeadline() + maxRequestAgeMargin
 	n := &Node{
-		cfg:       cfg,
-		log:       log,
-		startTime: time.Now(),
-		events:    make(chan func(), eventQueueSize),
-		loopEnded: make(chan struct{}),
-		balancer:  balancer.New(cfg.Settings, cfg.Seed),
-		directory: discovery.Directory{Log: log},
-		requests:  map[balancer.RequestID]*request{},
-		recentIDs: newRecentIDs(maxRequestAge + responseWriteTimeout),
-
-		longestDeadline: longestDeadline,
-		maxRequestAge:   maxRequestAge,
+		cfg:           cfg,
+		log:           log,
+		startTime:     time.Now(),
+		events:        make(chan func(), eventQueueSize),
+		loopEnded:     make(chan struct{}),
+		maxRequestAge: maxRequestAge,
+		balancer:      balancer.New(cfg.Settings, cfg.Seed),
+		directory:     discovery.Directory{Log: log},
+		requests:      map[balancer.RequestID]*request{},
+		recentIDs:     newRecentIDs(maxRequestAge + responseWriteTimeout),
 	}
 	clients, endpoints := cfg.Connections()
 	n.pool = upstream.NewPool(upstream.ConfigFor(cfg.Settings, endpoints))
--- a/internal/node/recentids_test.go
+++ b/internal/node/recentids_test.go
@@ -51,7 +51,8 @@
 
 // TestOldRequestRejected guards against a copy whose original has been forgotten: a
 // request that has waited on this machine for longer than clients of any class wait is
-// rejected, however long its client claims to wait.
+// rejected, however long its client claims to wait, and not with a 503, which would
+// promise that the original has not run.
 func TestOldRequestRejected(t *testing.T) {
 	backend, received := startRecordingBackend(t)
 	n := startNode(t, backend)
@@ -59,7 +60,7 @@
 		waited time.Duration
 		want   int
 	}{
-		"old": {waited: n.maxRequestAge + time.Second, want: http.StatusServiceUnavailable},
+		"old": {waited: n.maxRequestAge + time.Second, want: http.StatusRequestTimeout},
 		"new": {waited: 0, want: http.StatusOK},
 	} {
 		r := &request{
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -80,7 +80,9 @@
 	case n.isCopy(r):
 		return response{status: http.StatusConflict}, true
 	case time.Since(r.receivedAt) > n.maxRequestAge:
-		return n.rejection(r), true // it may be a copy of a request that recentIDs has forgotten
+		// It may be a copy of a request that has run and that recentIDs has forgotten, so the
+		// status must not promise that the request had no effect.
+		return response{status: http.StatusRequestTimeout}, true
 	case limit > 0 && len(n.requests) >= limit:
 		return n.rejection(r), true
 	}
