Node: remember the ID of a served request once, not twice

Cause: a served request is removed by respond and again by finishAttempt, and each removal hashed and stored its ID in the event loop. Change: removeIfDone does nothing for a request that has been removed already. Result: the tests of the node pass under the race detector.

--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -168,10 +168,11 @@
 	n.removeIfDone(r)
 }
 
-// removeIfDone removes a request that is answered and has no attempt running. Its ID
-// is remembered if the request may have run.
+// removeIfDone removes a request that is answered and has no attempt running, unless
+// it has been removed already. Its ID is remembered if the request may have run.
 func (n *Node) removeIfDone(r *request) {
-	if !r.answered || r.runningAttempts > 0 {
+	done := r.answered && r.runningAttempts == 0
+	if !done || n.requests[r.id()] != r {
 		return
 	}
 	delete(n.requests, r.id())
