Node tests: one builder for the texts of requests

Change: requestText takes the deadline, and the other two call it; startHoldingBackend stands with the other backends. The texts and assertions are the same.

--- a/internal/node/clientconn_test.go
+++ b/internal/node/clientconn_test.go
@@ -188,7 +188,7 @@
 					n := startNode(t, backend)
 					longestPause := watchPauses(t)
 					c := n.dial(t)
-					first, later := requestText("pagar", "first"), part
+					first, later := postText("first", "60"), part
 					if sameWrite {
 						first, later = first+part, ""
 					}
@@ -226,8 +226,8 @@
 			backend, received, release := startHoldingBackend(t, "first", "second")
 			n := startNode(t, backend)
 			c := n.dial(t)
-			second := strings.Replace(requestText("pagar", "second"), "Content-Length: 0", fmt.Sprint("Content-Length: ", bodySize), 1)
-			io.WriteString(c, requestText("pagar", "first")+second+strings.Repeat("x", bodySize))
+			second := strings.Replace(postText("second", "60"), "Content-Length: 0", fmt.Sprint("Content-Length: ", bodySize), 1)
+			io.WriteString(c, postText("first", "60")+second+strings.Repeat("x", bodySize))
 			receive(t, received, "the first request")
 			time.Sleep(requestReadTimeout + 200*time.Millisecond)
 			release["first"] <- true
--- a/internal/node/testbackend_test.go
+++ b/internal/node/testbackend_test.go
@@ -94,6 +94,28 @@
 	}), received
 }
 
+// startHoldingBackend starts a backend that sends the ID of each request on received
+// and answers the request when a value is sent on the channel that release returns for
+// its ID.
+func startHoldingBackend(t *testing.T, ids ...string) (address string, received chan string, release map[string]chan bool) {
+	received, release = make(chan string, 100), map[string]chan bool{}
+	for _, id := range ids {
+		release[id] = make(chan bool, 10)
+	}
+	return startBackend(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			req := readRequest(r)
+			if req == nil {
+				return
+			}
+			id := req.Header.Get("X-Request-Id")
+			received <- id
+			<-release[id]
+			io.WriteString(c, okResponse)
+		}
+	}), received, release
+}
+
 // refusingAddress returns an address at which nothing listens.
 func refusingAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/node/testclient_test.go
+++ b/internal/node/testclient_test.go
@@ -89,9 +89,19 @@
 }
 
 // postText returns a request of a class that is not idempotent.
-func postText(id, deadline string) string {
-	return fmt.Sprintf("POST /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: pagar\r\nX-Deadline: %s\r\nContent-Length: 0\r\n\r\n",
-		id, deadline)
+func postText(id, deadline string) string { return requestText("pagar", id, deadline) }
+
+// requestText returns a request of a class of testConfig, with the method and headers
+// of that class.
+func requestText(class, id, deadline string) string {
+	method, extra := "POST", "Content-Length: 0\r\n"
+	switch class {
+	case "saldo":
+		method, extra = "GET", ""
+	case "pedido":
+		extra += "Idempotency-Key: k\r\n"
+	}
+	return fmt.Sprintf("%s /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline: %s\r\n%s\r\n", method, id, class, deadline, extra)
 }
 
 // pipelinedGets returns the text of count requests, as sent by a client that does not
@@ -99,7 +109,7 @@
 func pipelinedGets(count int) string {
 	var b strings.Builder
 	for i := range count {
-		fmt.Fprintf(&b, "GET /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: p%d\r\nX-Class: saldo\r\nX-Deadline: 60\r\n\r\n", i)
+		b.WriteString(requestText("saldo", fmt.Sprint("p", i), "60"))
 	}
 	return b.String()
 }
