Node: bound the memory of all that clients and endpoints make it hold

Cause: the number of connections follows from the descriptors alone, and nothing bounded what all of them make the node hold: bodies and heads that stop, whole requests that wait, copies for attempts, responses. The runtime's limit is soft and frees nothing that is in use.

Change: package memory divides what the limit leaves after program, runtime and connections into budgets. A request above 4 KiB reserves its size before its body is read; half of the budget is for bodies that have arrived whole in the kernel, so those that stop cannot exhaust it. Heads count 256 bytes a line besides their text. Attempts share one encoded head and the body.

Why it works: what others can send is in a budget or within a fixed size per connection that the plan subtracts.

--- a/cmd/bankshift/main.go
+++ b/cmd/bankshift/main.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	setMemoryLimit(cfg.MemoryMB)
+	debug.SetMemoryLimit(cfg.MemoryPlan().RuntimeLimit)
 	log := slog.New(slog.NewTextHandler(logOutput, nil)).With("node", cfg.Name)
 	ln, err := node.Listen(ctx, cfg.Listen, log)
 	if ctx.Err() != nil {
@@ -72,13 +72,6 @@
 	return n.Run(ctx, ln)
 }
 
-// setMemoryLimit sets the Go runtime's soft memory limit to three quarters of
-// memoryMB. Garbage collection becomes more frequent well before the node reaches
-// the machine's limit, at which it would be killed.
-func setMemoryLimit(memoryMB int) {
-	debug.SetMemoryLimit(int64(memoryMB) << 20 * 3 / 4)
-}
-
 // reloadOnSignal reloads the node's configuration for each signal. It does not
 // return, as the channel is never closed.
 func reloadOnSignal(signals <-chan os.Signal, path string, n *node.Node, log *slog.Logger) {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -86,7 +86,9 @@
 	r := a.request
 	r.runningAttempts--
 	if a.result.Outcome == balancer.OK {
-		n.respond(r.id(), response{status: http.StatusOK, header: a.result.Header, body: a.result.Body})
+		n.respond(r.id(), response{status: http.StatusOK, header: a.result.Header, body: a.result.Body, memory: a.result.Memory})
+	} else {
+		a.result.Memory.Release()
 	}
 	n.handle(balancer.AttemptEnded{
 		ID:          r.id(),
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
 
+	"bankshift/internal/memory"
 	"bankshift/internal/sockets"
 )
 
@@ -89,6 +91,16 @@
 	// too.
 	readAhead readAheadBuffer
 
+	// serving: net/http has read the head of a request and has not finished its response.
+	serving bool
+
+	// bodyUnread is how many bytes of the body of that request net/http has not read yet.
+	bodyUnread int
+
+	// head measures the head of the request that is being received or served.
+	head       memory.HeadMeter
+	headMemory memory.Reservation // of that head
+
 	// closed: Close has been called.
 	closed bool
 
@@ -115,14 +127,30 @@
 // Read returns bytes that were read ahead before it reads from Conn. While a
 // request is open, net/http reads a single byte to detect the connection's end.
 // After that byte it stops reading, so readAheadLoop reads what follows.
+//
+// A read returns bytes of one part of a message, a head or a body. Bytes that follow a
+// head in the same segment count as read ahead, so that net/http's buffer never holds a
+// part of a message whose memory is not counted.
 func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.readPart(b)
+	if n == 0 || c.reserveHead() {
+		return n, err
+	}
+	c.rejectHead(b)
+	return 0, io.EOF // net/http then closes the connection without a response of its own
+}
+
+// readPart is Read without a limit of memory.
+func (c *clientConn) readPart(b []byte) (int, error) {
+	background := isBackgroundRead(b)
 	c.mu.Lock()
 	if c.readingAhead && c.readAhead.empty() {
 		c.stopReadAhead()
 	}
+	b = c.limitToPart(b)
 	if !c.readAhead.empty() && len(b) > 0 {
 		defer c.mu.Unlock()
-		return c.takeReadAhead(b), nil
+		return c.takeReadAhead(b, background), nil
 	}
 	if c.err != nil {
 		defer c.mu.Unlock()
@@ -140,8 +168,10 @@
 	receivedAt := c.arrivalTime()
 	c.noteReceived(time.Now())
 	c.stopDraining() // bytes that arrived while the connection was being drained must be answered
-	c.noteRead(b, receivedAt)
-	return n, err
+	counted := c.countReceived(b[:n])
+	c.addReadAhead(b[counted:n], receivedAt)
+	c.noteRead(background, receivedAt)
+	return counted, err
 }
 
 // setRequestOpen records whether a request that has been read to its end is
@@ -163,6 +193,7 @@
 func (c *clientConn) setActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serving = true
 	c.nextRequestAt = time.Time{}
 	c.noteReceived(c.receivedAt)
 	c.stopDraining()
@@ -172,6 +203,10 @@
 func (c *clientConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serving = false
+	c.bodyUnread = 0
+	c.head = memory.HeadMeter{}
+	c.headMemory.Release()
 	c.receivedSinceIdle = false
 	c.servedBefore = true
 	c.clearRequestTimes()
@@ -211,7 +246,7 @@
 // Close closes the connection and releases its slot.
 func (c *clientConn) Close() error {
 	err := c.Conn.Close()
-	c.discardReadAhead()
+	c.releaseMemory()
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	c.releaseSlot()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,6 +11,7 @@
 
 	"bankshift/balancer"
 	"bankshift/internal/discovery"
+	"bankshift/internal/memory"
 	"bankshift/internal/settings"
 	"bankshift/internal/sockets"
 )
@@ -74,6 +75,12 @@
 	return clients, available - clients
 }
 
+// MemoryPlan returns how the node divides its memory limit.
+func (c Config) MemoryPlan() memory.Plan {
+	clients, endpoints := c.Connections()
+	return memory.NewPlan(c.MemoryMB, clients, endpoints)
+}
+
 // longestDeadline returns the longest deadline of all request classes: no client waits
 // longer for its response.
 func (c Config) longestDeadline() time.Duration {
--- a/internal/node/connlimit.go
+++ b/internal/node/connlimit.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bankshift/internal/memory"
 )
 
 // slotPollInterval is the longest time for which an Accept that waits for a
@@ -26,7 +28,8 @@
 	maxConnections int
 	slotFreed      chan struct{} // holds a value if a slot may have become free
 	stopped        chan struct{} // closed by stopWaiting
-	readAheadBytes atomic.Int64  // bytes read ahead on all connections together
+	memory         limiterMemory
+	readAheadBytes atomic.Int64 // memory of the bytes read ahead on all connections together
 
 	mu          sync.Mutex // guards what follows
 	slotsInUse  int
@@ -40,11 +43,28 @@
 	servedBefore bool // the connection has carried a request before
 }
 
+// limiterMemory bounds the memory of what is received on client connections.
+type limiterMemory struct {
+	heads           *memory.HeadBudget
+	readAhead       int64 // for the bytes read ahead on all connections together
+	readAheadScarce int   // for one connection while all together exceed readAhead
+}
+
+// limitMemory sets the limiter's memory. It must be called before the first Accept.
+func (l *connectionLimiter) limitMemory(plan memory.Plan, heads *memory.HeadBudget) {
+	l.memory = limiterMemory{
+		heads:           heads,
+		readAhead:       plan.ReadAhead,
+		readAheadScarce: min(max(int(plan.ReadAhead)/l.maxConnections, minReadAheadScarce), maxReadAheadScarce),
+	}
+}
+
 // newConnectionLimiter returns a limiter on ln. The caller closes ln.
 func newConnectionLimiter(ln net.Listener, maxConnections int, log *slog.Logger) *connectionLimiter {
 	return &connectionLimiter{
 		acceptor:       acceptor{Listener: ln, log: log},
 		maxConnections: maxConnections,
+		memory:         limiterMemory{readAhead: defaultReadAhead, readAheadScarce: maxReadAheadScarce},
 		slotFreed:      make(chan struct{}, 1),
 		stopped:        make(chan struct{}),
 		connections:    map[*clientConn]struct{}{},
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bankshift/balancer"
+	"bankshift/internal/memory"
 )
 
 // Time limits of a client's connection.
@@ -34,6 +35,7 @@
 	maxConnections int
 	idempotency    map[string]balancer.Idempotency // by class name
 	connections    *connectionLimiter              // set by serve
+	requestMemory  *memory.Budget                  // for clients' requests
 	phases         shutdownPhases
 
 	// keepServing blocks until the first phase of the shutdown is over.
@@ -49,6 +51,7 @@
 		node:           n,
 		maxConnections: maxConnections,
 		idempotency:    map[string]balancer.Idempotency{},
+		requestMemory:  memory.NewBudget(n.memory.Requests),
 	}
 	for _, class := range n.cfg.Settings.Classes {
 		f.idempotency[class.Name] = class.Idempotency
@@ -62,6 +65,7 @@
 // closes ln.
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
 	f.connections = newConnectionLimiter(ln, f.maxConnections, f.node.log)
+	f.connections.limitMemory(f.node.memory, f.node.headMemory)
 	srv := &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: firstByteTimeout,
@@ -83,6 +87,9 @@
 
 // ServeHTTP answers the health checks and passes requests to the node.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok {
+		c.startBody(r.ContentLength)
+	}
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -105,12 +112,13 @@
 }
 
 func (f *frontend) serveRequest(w http.ResponseWriter, r *http.Request) {
-	req, err := f.parseRequest(w, r)
+	req, err := f.parseRequest(r)
 	if err != nil {
 		reject(w, r, err)
 		return
 	}
 	if resp, ok := f.awaitResponse(r.Context(), req); ok {
+		defer resp.memory.Release()
 		writeResponse(w, resp)
 		return
 	}
@@ -139,7 +147,10 @@
 	case resp := <-req.response:
 		return resp, true
 	case <-ctx.Done():
-		f.node.post(func() { f.node.abandonRequest(req) })
+		f.node.post(func() {
+			f.node.abandonRequest(req)
+			req.discardResponse()
+		})
 	case <-f.node.loopEnded:
 	}
 	return response{}, false
--- /dev/null
+++ b/internal/node/memory_test.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"bankshift/internal/memory"
+)
+
+// longPost returns a request with the longest body that a request may have.
+func longPost(id, extraHeaders string) string {
+	return fmt.Sprintf("POST /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: pagar\r\nX-Deadline: 60\r\nContent-Length: %d\r\n%s\r\n%s",
+		id, maxBodyBytes, extraHeaders, strings.Repeat("x", maxBodyBytes))
+}
+
+// startLongAnswerBackend starts a backend with answers of the longest body, except that
+// it does not answer requests with the ID "held".
+func startLongAnswerBackend(t *testing.T) (address string, held chan bool) {
+	t.Helper()
+	held = make(chan bool, 1)
+	return startBackend(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			req := readRequest(r)
+			if req == nil {
+				return
+			}
+			if req.Header.Get("X-Request-Id") == "held" {
+				held <- true
+				io.Copy(io.Discard, r)
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxBodyBytes, strings.Repeat("y", maxBodyBytes))
+		}
+	}), held
+}
+
+// allMemoryIsFree reports whether no request, response or head holds memory.
+func (n *testNode) allMemoryIsFree() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	for _, b := range []struct {
+		budget *memory.Budget
+		size   int64
+	}{{n.frontend.requestMemory, n.memory.Requests}, {n.responseMemory, n.memory.Responses}} {
+		for range 2 { // the two halves of the budget
+			half, err := b.budget.Reserve(ctx, nil, int(b.size/2), 0)
+			if err != nil {
+				return false
+			}
+			defer half.Release()
+		}
+	}
+	var meter memory.HeadMeter
+	for meter.Excess() < n.memory.Heads {
+		meter.Add([]byte("a"))
+	}
+	var all memory.Reservation
+	defer all.Release()
+	return n.headMemory.Extend(&all, &meter)
+}
+
+// TestMemoryIsReleased guards against memory that stays reserved for a request that has
+// ended, however it has ended: after some of them no further request would be read.
+func TestMemoryIsReleased(t *testing.T) {
+	backend, held := startLongAnswerBackend(t)
+	n := startNode(t, backend)
+	lines := strings.Repeat("X-Line: a\r\n", 200)
+	for i := range 3 {
+		t.Run("served", func(t *testing.T) {
+			c := n.dial(t)
+			io.WriteString(c, longPost(fmt.Sprint("served", i), lines))
+			if s := c.status(t); s != http.StatusOK {
+				t.Errorf("status %d", s)
+			}
+		})
+	}
+	t.Run("client leaves", func(t *testing.T) {
+		c := n.dial(t)
+		io.WriteString(c, longPost("held", lines))
+		receive(t, held, "the request")
+		copying := n.dial(t)
+		io.WriteString(copying, longPost("held", ""))
+		if s := copying.status(t); s != http.StatusConflict {
+			t.Errorf("a copy is answered %d", s)
+		}
+		c.Close()
+	})
+	t.Run("half a body", func(t *testing.T) {
+		c := n.dial(t)
+		text := longPost("half", lines)
+		io.WriteString(c, text[:len(text)-1])
+		c.CloseWrite()
+		if s := c.status(t); s != http.StatusBadRequest {
+			t.Errorf("status %d", s)
+		}
+	})
+	t.Run("invalid", func(t *testing.T) {
+		c := n.dial(t)
+		io.WriteString(c, strings.Replace(longPost("invalid", lines), "pagar", "none", 1))
+		if s := c.status(t); s != http.StatusBadRequest {
+			t.Errorf("status %d", s)
+		}
+	})
+	waitUntil(t, "the release of all memory", n.allMemoryIsFree)
+}
+
+// TestLongBodiesServedWhileOthersStall guards against clients that stop in the middle of
+// a body and so keep those that send theirs whole, at once or slowly, from being served.
+func TestLongBodiesServedWhileOthersStall(t *testing.T) {
+	backend, _ := startLongAnswerBackend(t)
+	n := startNodeOn(t, newListener(t), func(c *Config) { c.MemoryMB = 1 }, backend)
+	stalled := int(n.memory.Requests / maxBodyBytes)
+	for i := range stalled {
+		c := n.dial(t)
+		text := longPost(fmt.Sprint("stalled", i), "")
+		io.WriteString(c, text[:len(text)-1])
+	}
+	waitUntil(t, "all of them to be read", func() bool { return n.connectionsInRequest() == stalled })
+	for name, piece := range map[string]int{"at once": maxBodyBytes, "in pieces": 500} {
+		t.Run(name, func(t *testing.T) {
+			c := n.dial(t)
+			for text := longPost(name, ""); text != ""; text = text[min(piece, len(text)):] {
+				io.WriteString(c, text[:min(piece, len(text))])
+			}
+			if s := c.status(t); s != http.StatusOK {
+				t.Errorf("status %d, want 200", s)
+			}
+		})
+	}
+}
+
+// TestHeadWithoutMemoryIsRejected guards against a request that gets no final answer: one
+// whose head needs more memory than is left is rejected, and its client receives the
+// response although the node has not read the whole head.
+func TestHeadWithoutMemoryIsRejected(t *testing.T) {
+	backend, _ := startLongAnswerBackend(t)
+	n := startNodeOn(t, newListener(t), func(c *Config) { c.MemoryMB = 1 }, backend)
+	c := n.dial(t)
+	io.WriteString(c, longPost("many", strings.Repeat("a:\r\n", 3000)))
+	if s := c.status(t); s != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", s)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 
 	"bankshift/balancer"
 	"bankshift/internal/discovery"
+	"bankshift/internal/memory"
 	"bankshift/internal/upstream"
 )
 
@@ -37,6 +38,10 @@
 	frontend   *frontend
 	runContext context.Context // canceled when the node has shut down; set by Run
 
+	memory         memory.Plan
+	headMemory     *memory.HeadBudget // for the heads of clients' requests and of responses
+	responseMemory *memory.Budget     // for the bodies of responses
+
 	// maxRequestAge is how long a request may have waited on this machine; an older one
 	// is rejected.
 	maxRequestAge time.Duration
@@ -63,13 +68,19 @@
 		events:        make(chan func(), eventQueueSize),
 		loopEnded:     make(chan struct{}),
 		maxRequestAge: maxRequestAge,
+		memory:        cfg.MemoryPlan(),
 		balancer:      balancer.New(cfg.Settings, cfg.Seed),
 		directory:     discovery.Directory{Log: log},
 		requests:      map[balancer.RequestID]*request{},
 		recentIDs:     newRecentIDs(maxRequestAge + responseWriteTimeout),
 	}
 	clients, endpoints := cfg.Connections()
-	n.pool = upstream.NewPool(upstream.ConfigFor(cfg.Settings, endpoints))
+	n.headMemory = memory.NewHeadBudget(n.memory.Heads)
+	n.responseMemory = memory.NewBudget(n.memory.Responses)
+	poolConfig := upstream.ConfigFor(cfg.Settings, endpoints)
+	poolConfig.Responses = n.responseMemory
+	poolConfig.Heads = n.headMemory
+	n.pool = upstream.NewPool(poolConfig)
 	n.frontend = newFrontend(n, clients)
 	n.discovery = n.newDiscoveryClient(cfg.Discovery)
 	return n
--- a/internal/node/parse.go
+++ b/internal/node/parse.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"time"
 
 	"bankshift/balancer"
+	"bankshift/internal/memory"
 	"bankshift/internal/upstream"
 )
 
@@ -41,7 +43,7 @@
 
 // parseRequest reads a client's request to the end of its body and checks it. The
 // error is a *requestError.
-func (f *frontend) parseRequest(w http.ResponseWriter, r *http.Request) (*request, error) {
+func (f *frontend) parseRequest(r *http.Request) (*request, error) {
 	// Taken first: the client's timeout runs while the body is received, and while
 	// the request waits behind another one on its connection.
 	receivedAt := requestReceivedAt(r)
@@ -49,22 +51,23 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(w, r)
+	deadline := receivedAt.Add(timeout - ResponseMargin)
+	body, reserved, err := f.readBody(r, deadline)
 	if err != nil {
 		return nil, err
 	}
+	upstreamRequest, err := upstream.NewRequest(r.Method, originURL(r.URL), r.Host, endToEndHeaders(r.Header), body)
+	if err != nil {
+		reserved.Release()
+		return nil, rejectionf(http.StatusBadRequest, "%w", err)
+	}
 	return &request{
 		arrival:    arrival,
 		receivedAt: receivedAt,
-		deadline:   receivedAt.Add(timeout - ResponseMargin),
+		deadline:   deadline,
+		memory:     reserved,
 		response:   make(chan response, 1),
-		upstream: &upstream.Request{
-			Method: r.Method,
-			URL:    originURL(r.URL),
-			Host:   r.Host,
-			Header: endToEndHeaders(r.Header),
-			Body:   body,
-		},
+		upstream:   upstreamRequest,
 	}, nil
 }
 
@@ -177,17 +180,55 @@
 	return time.Duration(microseconds * float64(time.Microsecond)), true
 }
 
-// readBody reads a request's body to its end.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return nil, rejectionf(http.StatusRequestEntityTooLarge, "the body is over %d bytes", maxBodyBytes)
-	case err != nil:
-		return nil, rejectionf(http.StatusBadRequest, "reading the body: %w", err)
+// readBody reads a request's body to its end, and returns what it has reserved for the
+// request. The error is a *requestError. If the node is short of memory, readBody waits
+// until the request's deadline at most.
+func (f *frontend) readBody(r *http.Request, deadline time.Time) ([]byte, memory.Reservation, error) {
+	if r.ContentLength > maxBodyBytes {
+		return nil, memory.Reservation{}, rejectionf(http.StatusRequestEntityTooLarge, "the body is over %d bytes", maxBodyBytes)
 	}
-	return body, nil
+	reserved, err := f.reserveRequest(r, deadline)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil, reserved, rejectionf(http.StatusServiceUnavailable, "%w", err)
+	}
+	if err != nil {
+		return nil, reserved, rejectionf(http.StatusBadRequest, "reading the body: %w", err)
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		reserved.Release()
+		return nil, reserved, rejectionf(http.StatusBadRequest, "reading the body: %w", err)
+	}
+	return body, reserved, nil
+}
+
+// reserveRequest reserves memory for a request whose body has not been read. It waits
+// until the request's deadline at most, and for no longer than a request may take to
+// arrive.
+func (f *frontend) reserveRequest(r *http.Request, deadline time.Time) (memory.Reservation, error) {
+	c, ok := r.Context().Value(clientConnKey{}).(*clientConn)
+	if !ok {
+		return memory.Reservation{}, nil
+	}
+	bodyLength := int(r.ContentLength)
+	size := c.headSize() + bodyLength
+	if size <= memory.UnreservedBytes {
+		return memory.Reservation{}, nil
+	}
+	if r.Header.Get("Expect") != "" {
+		r.Body.Read(nil) // makes net/http ask the client for the body, which it may hold back until then
+	}
+	unread := 0
+	if bodyLength > 0 {
+		var readDeadline time.Time
+		unread, readDeadline = c.beforeBody(bodyLength)
+		if readDeadline.Before(deadline) {
+			deadline = readDeadline
+		}
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	return f.requestMemory.Reserve(ctx, c.Conn, size, unread)
 }
 
 // originURL returns the path and query of a request's URL, without scheme and
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -11,25 +11,39 @@
 // the limit after a request that is still open is aborted.
 const (
 	maxReadAhead       = 128 << 10 // for one connection
-	maxReadAheadScarce = 16 << 10  // for one connection while all connections together exceed sharedReadAhead
-	sharedReadAhead    = 4 << 20   // for all connections of a limiter together
+	maxReadAheadScarce = 16 << 10  // for one connection while all connections together exceed their share, at most
+	minReadAheadScarce = 4 << 10   // the same, at least
+	defaultReadAhead   = 4 << 20   // share of all connections of a limiter together, unless limitMemory sets another
 )
 
 var errFlooded = errors.New("client exceeded the read-ahead limit while its request was open")
 
-// takeReadAhead copies bytes that were read ahead to b and returns their
-// number. The caller holds c.mu.
-func (c *clientConn) takeReadAhead(b []byte) int {
-	n, receivedAt := c.readAhead.take(b)
-	c.limiter.readAheadBytes.Add(int64(-n))
-	c.noteRead(b, receivedAt)
+// takeReadAhead copies bytes that were read ahead to b and returns their number. They
+// belong to one part of a message; see countReceived. The caller holds c.mu.
+func (c *clientConn) takeReadAhead(b []byte, background bool) int {
+	first := c.readAhead.chunks[0].data
+	n := c.countReceived(first[:min(len(b), len(first))])
+	memory := c.readAhead.memory
+	n, receivedAt := c.readAhead.take(b[:n])
+	c.limiter.readAheadBytes.Add(int64(c.readAhead.memory - memory))
+	c.noteRead(background, receivedAt)
 	return n
 }
 
-// noteRead records that net/http has read bytes into b that arrived at the given time.
+// addReadAhead adds bytes to those that were read ahead. The caller holds c.mu.
+func (c *clientConn) addReadAhead(data []byte, receivedAt time.Time) {
+	if len(data) == 0 || c.closed {
+		return
+	}
+	memory := c.readAhead.memory
+	c.readAhead.add(data, receivedAt)
+	c.limiter.readAheadBytes.Add(int64(c.readAhead.memory - memory))
+}
+
+// noteRead records that net/http has read bytes that arrived at the given time.
 // The caller holds c.mu.
-func (c *clientConn) noteRead(b []byte, receivedAt time.Time) {
-	if isBackgroundRead(b) {
+func (c *clientConn) noteRead(background bool, receivedAt time.Time) {
+	if background {
 		c.startReadAhead(receivedAt)
 	} else {
 		c.receivedAt = receivedAt
@@ -76,9 +90,8 @@
 func (c *clientConn) storeReadAhead(data []byte, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(data) > 0 && !c.closed {
-		c.readAhead.add(data, c.arrivalTime())
-		c.limiter.readAheadBytes.Add(int64(len(data)))
+	if len(data) > 0 {
+		c.addReadAhead(data, c.arrivalTime())
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.abort(err)
@@ -95,11 +108,9 @@
 // readAheadFull reports whether the connection has exceeded its read-ahead
 // limit. The caller holds c.mu.
 func (c *clientConn) readAheadFull() bool {
-	limit := maxReadAhead
-	if c.limiter.readAheadBytes.Load() > sharedReadAhead {
-		limit = maxReadAheadScarce
-	}
-	return c.readAhead.size > limit
+	limits := c.limiter.memory
+	scarce := c.limiter.readAheadBytes.Load() > limits.readAhead
+	return c.readAhead.size > maxReadAhead || scarce && c.readAhead.memory > limits.readAheadScarce
 }
 
 // abortIfFlooded aborts the connection of a client that has exceeded the
@@ -123,14 +134,16 @@
 	c.cancelRequests()
 }
 
-// discardReadAhead drops the bytes read ahead when the connection is closed.
-func (c *clientConn) discardReadAhead() {
+// releaseMemory drops the bytes read ahead, and releases the memory of the head that
+// was read last, when the connection is closed.
+func (c *clientConn) releaseMemory() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return
 	}
 	c.closed = true
-	c.limiter.readAheadBytes.Add(int64(-c.readAhead.size))
+	c.limiter.readAheadBytes.Add(int64(-c.readAhead.memory))
 	c.readAhead = readAheadBuffer{}
+	c.headMemory.Release()
 }
--- a/internal/node/readaheadbuffer.go
+++ b/internal/node/readaheadbuffer.go
@@ -10,11 +10,15 @@
 // chunks.
 const chunkMergeTime = 5 * time.Millisecond
 
+// chunkOverhead is the memory of a chunk besides its data, in bytes.
+const chunkOverhead = 64
+
 // readAheadBuffer holds the bytes read ahead and when each part of them
 // arrived. The zero value is empty.
 type readAheadBuffer struct {
 	chunks []readAheadChunk // oldest first, none of them empty
 	size   int              // bytes in all chunks
+	memory int              // bytes that the chunks occupy, including those that have been taken
 }
 
 // readAheadChunk is a part of the bytes read ahead.
@@ -34,11 +38,15 @@
 	if len(r.chunks) > 0 {
 		last := &r.chunks[len(r.chunks)-1]
 		if receivedAt.Sub(last.receivedAt) <= chunkMergeTime {
+			r.memory -= cap(last.data)
 			last.data = append(last.data, data...)
+			r.memory += cap(last.data)
 			return
 		}
 	}
-	r.chunks = append(r.chunks, readAheadChunk{data: bytes.Clone(data), receivedAt: receivedAt})
+	chunk := readAheadChunk{data: bytes.Clone(data), receivedAt: receivedAt}
+	r.chunks = append(r.chunks, chunk)
+	r.memory += cap(chunk.data) + chunkOverhead
 }
 
 // take removes bytes from the front, copies them to b and returns their number
@@ -55,6 +63,7 @@
 	}
 	if r.empty() {
 		r.chunks = nil // releases the memory, which hundreds of connections would otherwise keep
+		r.memory = 0
 	}
 	return n, receivedAt
 }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bankshift/balancer"
+	"bankshift/internal/memory"
 	"bankshift/internal/upstream"
 )
 
@@ -27,8 +28,9 @@
 type request struct {
 	arrival    balancer.RequestArrived
 	upstream   *upstream.Request
-	receivedAt time.Time // when its head arrived at this machine
-	deadline   time.Time // when the response is due
+	memory     memory.Reservation // for the request itself; released when its attempts have ended
+	receivedAt time.Time          // when its head arrived at this machine
+	deadline   time.Time          // when the response is due
 
 	// response receives the final response. It is buffered, so that the loop does
 	// not block on it. The goroutine that serves the client reads it.
@@ -51,6 +53,16 @@
 
 func (r *request) id() balancer.RequestID { return r.arrival.ID }
 
+// discardResponse drops the response that was sent on r.response, if there is one,
+// because nobody waits for it any more. No response may be sent afterwards.
+func (r *request) discardResponse() {
+	select {
+	case resp := <-r.response:
+		resp.memory.Release()
+	default:
+	}
+}
+
 // startRequest admits a client's request and passes it to the balancer. The
 // response is sent on r.response.
 func (n *Node) startRequest(r *request) {
@@ -58,6 +70,7 @@
 	if refusal, ok := n.refuse(r); ok {
 		// The request is not in n.requests, and the balancer is not informed of it.
 		r.answered = true
+		r.memory.Release()
 		r.response <- refusal
 		return
 	}
@@ -155,6 +168,7 @@
 func (n *Node) respond(id balancer.RequestID, resp response) {
 	r := n.requests[id]
 	if r == nil || r.answered {
+		resp.memory.Release()
 		return
 	}
 	r.response <- resp
@@ -176,6 +190,7 @@
 		return
 	}
 	delete(n.requests, r.id())
+	r.memory.Release()
 	if r.upstream.MayBeSent() {
 		n.recentIDs.add(r.id(), time.Now())
 	}
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"bankshift/internal/upstream"
 )
 
 const (
@@ -15,6 +17,9 @@
 	rejectionTimeout     = 200 * time.Millisecond // for reading the rest of a rejected request, or writing a rejection
 )
 
+// bareRejection rejects a request whose connection net/http does not serve any more.
+const bareRejection = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // response is the final response to a client. With a status other than 200 the
 // client receives the status's text as the body.
 type response struct {
@@ -22,6 +27,7 @@
 	retryAfter time.Duration // sent as Retry-After; 0: the header is not sent
 	header     http.Header
 	body       []byte
+	memory     upstream.ResponseMemory // of header and body; released when the response is written or dropped
 }
 
 // writeResponse writes the response to a client. Write errors are ignored: they
@@ -75,7 +81,7 @@
 	}
 	defer c.Close()
 	c.SetWriteDeadline(time.Now().Add(rejectionTimeout))
-	io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	io.WriteString(c, bareRejection)
 }
 
 // hopByHopHeaders concern a single connection, or the node alone, and are not
--- a/internal/node/testnode_test.go
+++ b/internal/node/testnode_test.go
@@ -267,6 +267,8 @@
 func hookDials(n *Node, change func(*upstream.Config)) *dialHook {
 	_, connections := n.cfg.Connections()
 	c := upstream.ConfigFor(n.cfg.Settings, connections)
+	c.Responses = n.responseMemory
+	c.Heads = n.headMemory
 	h := &dialHook{}
 	c.Dialer.ControlContext = h.control
 	change(&c)
--- a/internal/sockets/tcpinfo.go
+++ b/internal/sockets/tcpinfo.go
@@ -25,9 +25,10 @@
 // not been read. It returns false if there is no TCP_INFO.
 func PeerClosed(c net.Conn) bool {
 	info := tcpInfo(c)
-	if info == nil {
-		return false
-	}
+	return info != nil && peerClosed(info)
+}
+
+func peerClosed(info *unix.TCPInfo) bool {
 	return info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -19,6 +20,7 @@
 	Report  *balancer.LoadReport // load report of the response; nil if there is no valid one
 	Header  http.Header          // response headers; only with balancer.OK
 	Body    []byte               // response body; only with balancer.OK
+	Memory  ResponseMemory       // what the response takes of the pool's budgets; the caller releases it
 	Err     error                // an *AttemptError if there was no valid response, else nil
 }
 
@@ -37,11 +39,6 @@
 	if !hasDeadline {
 		return notSent(id, errNoDeadline) // the attempt could hang forever
 	}
-	encoded, err := r.encode()
-	if err != nil {
-		return notSent(id, err)
-	}
-
 	dialCtx, cancelDial := context.WithCancel(ctx)
 	defer cancelDial()
 	stopWatch := context.AfterFunc(startCtx, cancelDial)
@@ -57,7 +54,7 @@
 	// mayBeSent must be set before startCtx is checked. Otherwise the client could
 	// be told that its request was not sent, and the request be sent afterwards.
 	r.mayBeSent.Store(true)
-	message, ok := c.prepare(ctx, startCtx, deadline, r, encoded)
+	message, ok := c.prepare(ctx, startCtx, deadline, r)
 	if !ok {
 		c.finish(stopInterrupt())
 		return notSent(id, ErrNoLongerSendable)
@@ -75,14 +72,14 @@
 // The dial may have taken long, and this process may be paused at any point.
 // prepare therefore repeats the checks until both they and the deadline in the
 // message are at most maxCheckAge old.
-func (c *conn) prepare(ctx, startCtx context.Context, deadline time.Time, r *Request, encoded encodedRequest) (message []byte, ok bool) {
+func (c *conn) prepare(ctx, startCtx context.Context, deadline time.Time, r *Request) (message net.Buffers, ok bool) {
 	for {
 		now := time.Now()
 		timeLeft := deadline.Sub(now)
 		if !c.mayStart(ctx, startCtx, now, timeLeft, r) {
 			return nil, false
 		}
-		message = encoded.withDeadline(timeLeft)
+		message = r.withDeadline(timeLeft)
 		if time.Since(now) <= maxCheckAge {
 			return message, true
 		}
@@ -118,19 +115,21 @@
 
 // exchange writes a request and reads its response. It reports whether c can carry
 // another request.
-func (c *conn) exchange(ctx context.Context, method string, request []byte) (result Result, reusable bool) {
+func (c *conn) exchange(ctx context.Context, method string, request net.Buffers) (result Result, reusable bool) {
 	id := c.backend.endpoint
-	written, err := c.Write(request)
+	length := size(request)
+	written, err := c.write(request)
 	if err != nil {
-		if written < len(request) {
+		if written < length {
 			return failedUnsent(ctx, id, StepWrite, err), false
 		}
 		return failedSent(ctx, id, StepWrite, err), false // the whole request may have arrived
 	}
 	sentAt := time.Now()
 
-	result, reusable, err = c.readResponse(method)
+	result, reusable, err = c.readResponse(ctx, method)
 	if err != nil {
+		result.Memory.Release()
 		failed := failedSent(ctx, id, StepRead, err)
 		failed.SentAt = sentAt
 		failed.Report = result.Report
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,8 +5,14 @@
 	"io"
 	"net"
 	"time"
+
+	"bankshift/internal/memory"
 )
 
+// readBufferSize is the size of a connection's read buffer, in bytes. It holds the whole
+// of most responses; of a longer one only the head passes through it.
+const readBufferSize = 1 << 10
+
 // conn is a connection to an endpoint. One attempt at a time owns it, or the pool
 // while it is idle.
 type conn struct {
@@ -18,13 +24,16 @@
 	readBudget io.LimitedReader // reads from the conn; N is how many more bytes the response may have
 	readErr    error            // error of the last read from the connection; nil if it succeeded
 
+	head       memory.HeadMeter   // of the response that is being read
+	headMemory memory.Reservation // of that head
+
 	idleSince time.Time // when it last became idle
 }
 
 func newConn(raw net.Conn, p *Pool, b *backend) *conn {
 	c := &conn{Conn: raw, pool: p, backend: b}
 	c.readBudget.R = c
-	c.reader = bufio.NewReader(&c.readBudget)
+	c.reader = bufio.NewReaderSize(&c.readBudget, readBufferSize)
 	return c
 }
 
@@ -33,9 +42,33 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.readErr = err
+	if !c.meterHead(b[:n]) {
+		return 0, errHeadMemory
+	}
 	return n, err
 }
 
+// meterHead adds bytes to the head that is being read, and reserves memory for it. It
+// reports false if there is none.
+func (c *conn) meterHead(data []byte) bool {
+	for len(data) > 0 && !c.head.Ended() {
+		data = data[c.head.Add(data):]
+		if c.head.Ended() && c.head.Interim() {
+			c.head.Restart()
+		}
+	}
+	return c.pool.config.Heads.Extend(&c.headMemory, &c.head)
+}
+
+// write sends a message with a single call, and returns how many bytes were sent.
+func (c *conn) write(message net.Buffers) (written int, err error) {
+	if len(message) == 1 {
+		return c.Write(message[0])
+	}
+	sent, err := message.WriteTo(c.Conn)
+	return int(sent), err
+}
+
 // idleFor returns how long an idle connection has been idle at the time now.
 func (c *conn) idleFor(now time.Time) time.Duration { return now.Sub(c.idleSince) }
 
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -19,6 +19,7 @@
 	ErrBadResponse         = errors.New("bad response")                   // malformed or too long
 
 	errNoDeadline = errors.New("context of the attempt has no deadline")
+	errHeadMemory = errors.New("no memory is left for the head of the response")
 )
 
 // Step is the part of an attempt that failed.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bankshift/balancer"
+	"bankshift/internal/memory"
 	"bankshift/internal/sockets"
 )
 
@@ -41,6 +42,9 @@
 	MaxIdle        time.Duration // how long a connection may be idle before it is closed
 	MinReuseDelay  time.Duration // how long a connection must be idle after a response before its next request
 	MaxConnections int           // limit of connections that are idle, in use or being dialled
+
+	Responses *memory.Budget     // for the bodies of responses
+	Heads     *memory.HeadBudget // for the heads of responses
 }
 
 // ConfigFor derives a pool's configuration from the settings, with a limit of
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
-	"io"
+	"errors"
+	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"bankshift/internal/memory"
 )
 
 const (
@@ -21,63 +25,99 @@
 	lineEnd = "\r\n"
 )
 
-// Request is a client's request in the form in which it is sent to endpoints. All
-// its attempts share it, so it must not be changed once the first has begun.
+// Request is a client's request in the form in which it is sent to endpoints. All its
+// attempts share it, and so the memory of its head and body.
 type Request struct {
 	Method             string
-	URL                *url.URL
-	Host               string
-	Header             http.Header // end-to-end headers only
 	Body               []byte
-	ClientDisconnected func() bool // reports whether the client has disconnected; nil if that is not known
+	ClientDisconnected func() bool // reports whether the client has disconnected; nil if that is not known; set before the first attempt
 
+	// head is the encoded head without the X-Deadline header, whose value is known only
+	// when the request is sent, and without the empty line at its end.
+	head      []byte
 	mayBeSent atomic.Bool
 }
 
+// NewRequest returns a request. The header holds end-to-end headers only; NewRequest may
+// change it. The body must not be changed any more.
+func NewRequest(method string, url *url.URL, host string, header http.Header, body []byte) (*Request, error) {
+	head, err := encodeHead(method, url, host, header, len(body))
+	if err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	return &Request{Method: method, Body: body, head: head}, nil
+}
+
 // MayBeSent reports whether an attempt may have begun to write the request.
 func (r *Request) MayBeSent() bool { return r.mayBeSent.Load() }
 
-// encodedRequest is a request as it is written to an endpoint, without the X-Deadline
-// header, whose value is known only when the request is sent.
-type encodedRequest struct {
-	head []byte // ends with the line end of the last header
-	rest []byte // begins with the empty line that ends the head; the body follows
+// errHeadOnly ends the encoding of a request before its body.
+var errHeadOnly = errors.New("only the head is encoded")
+
+// unreadableBody is a body that cannot be read. net/http reads it after the whole head
+// has been written.
+type unreadableBody struct{ headWritten bool }
+
+func (b *unreadableBody) Read([]byte) (int, error) {
+	b.headWritten = true
+	return 0, errHeadOnly
 }
 
-// encode serializes the request without its X-Deadline header.
-func (r *Request) encode() (encodedRequest, error) {
+func (b *unreadableBody) Close() error { return nil }
+
+// encodeHead returns the head of a request; see Request.head. It does not encode the
+// body, which need not be copied.
+func encodeHead(method string, url *url.URL, host string, header http.Header, bodyLength int) ([]byte, error) {
 	out := &http.Request{
-		Method:        r.Method,
-		URL:           r.URL,
-		Host:          r.Host,
-		Header:        r.Header.Clone(),
+		Method:        method,
+		URL:           url,
+		Host:          host,
+		Header:        header,
 		Body:          http.NoBody,
-		ContentLength: int64(len(r.Body)),
+		ContentLength: int64(bodyLength),
 	}
-	if len(r.Body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(r.Body))
+	body := &unreadableBody{}
+	if bodyLength > 0 {
+		out.Body = body
 	}
 	out.Header.Del(headerDeadline)
-	if _, ok := r.Header["User-Agent"]; !ok {
+	if _, ok := header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil // otherwise net/http adds its own
 	}
-	var encoded bytes.Buffer
-	if err := out.Write(&encoded); err != nil {
-		return encodedRequest{}, err
+	var head bytes.Buffer
+	if err := out.Write(&head); err != nil && !body.headWritten {
+		return nil, err
 	}
-	headEnd := bytes.Index(encoded.Bytes(), []byte(lineEnd+lineEnd)) + len(lineEnd)
-	return encodedRequest{head: encoded.Bytes()[:headEnd], rest: encoded.Bytes()[headEnd:]}, nil
+	return bytes.Clone(bytes.TrimSuffix(head.Bytes(), []byte(lineEnd))), nil
 }
 
-// withDeadline returns the whole request with its X-Deadline header. A single write
-// can then send it, and the result of that write shows whether the last byte was
-// sent. timeLeft is rounded down, so that the header never states more than it.
-func (e encodedRequest) withDeadline(timeLeft time.Duration) []byte {
-	const longestLine = headerDeadline + ": 3600.000" + lineEnd
-	message := make([]byte, 0, len(e.head)+len(longestLine)+len(e.rest))
-	message = append(message, e.head...)
+// withDeadline returns the whole request with its X-Deadline header, as one buffer or
+// as two if the body is long. A single call can then send it, and its result shows
+// whether the last byte was sent. timeLeft is rounded down, so that the header never
+// states more than it.
+func (r *Request) withDeadline(timeLeft time.Duration) net.Buffers {
+	const longestLine = headerDeadline + ": 3600.000" + lineEnd + lineEnd
+	joined := r.Body
+	if len(joined) > memory.UnreservedBytes {
+		joined = nil
+	}
+	message := make([]byte, 0, len(r.head)+len(longestLine)+len(joined))
+	message = append(message, r.head...)
 	message = append(message, headerDeadline+": "...)
 	message = strconv.AppendFloat(message, timeLeft.Truncate(minDeadline).Seconds(), 'f', deadlineDecimals, 64)
-	message = append(message, lineEnd...)
-	return append(message, e.rest...)
+	message = append(message, lineEnd+lineEnd...)
+	message = append(message, joined...)
+	if len(joined) == len(r.Body) {
+		return net.Buffers{message}
+	}
+	return net.Buffers{message, r.Body}
+}
+
+// size returns the number of bytes in all buffers.
+func size(message net.Buffers) int {
+	total := 0
+	for _, part := range message {
+		total += len(part)
+	}
+	return total
 }
