Node: responses that clients do not read give way when others wait for memory

Cause: a response keeps its memory until it is written, for 5 s if its client does not read. With the budget of responses, a few such clients keep it from the responses of others.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 
 	"golang.org/x/sync/semaphore"
 
@@ -21,6 +22,7 @@
 type Budget struct {
 	arriving *semaphore.Weighted
 	arrived  *semaphore.Weighted
+	waiting  atomic.Int32 // messages that wait for memory
 }
 
 // NewBudget returns a budget of size bytes.
@@ -34,6 +36,9 @@
 	bytes int64
 }
 
+// Held reports whether anything is reserved.
+func (r *Reservation) Held() bool { return r.pool != nil }
+
 // Release returns the reservation to its budget. Further calls have no effect.
 func (r *Reservation) Release() {
 	if r.pool == nil {
@@ -57,12 +62,12 @@
 	}
 	err := sockets.AwaitUnread(c, unread)
 	if errors.Is(err, errors.ErrUnsupported) {
-		return acquire(ctx, b.arriving, size)
+		return b.acquire(ctx, b.arriving, size)
 	}
 	if err != nil {
 		return Reservation{}, err
 	}
-	return acquire(ctx, b.arrived, size)
+	return b.acquire(ctx, b.arrived, size)
 }
 
 // ReserveUnknown reserves size bytes for a message of which nobody knows how much has
@@ -71,11 +76,16 @@
 	if b == nil {
 		return Reservation{}, nil
 	}
-	return acquire(ctx, b.arriving, size)
+	return b.acquire(ctx, b.arriving, size)
 }
 
-// acquire waits for bytes of a pool until ctx ends.
-func acquire(ctx context.Context, pool *semaphore.Weighted, bytes int) (Reservation, error) {
+// Short reports whether messages wait for memory.
+func (b *Budget) Short() bool { return b.waiting.Load() > 0 }
+
+// acquire waits for bytes of one half of the budget until ctx ends.
+func (b *Budget) acquire(ctx context.Context, pool *semaphore.Weighted, bytes int) (Reservation, error) {
+	b.waiting.Add(1)
+	defer b.waiting.Add(-1)
 	if err := pool.Acquire(ctx, int64(bytes)); err != nil {
 		return Reservation{}, fmt.Errorf("waiting for %d bytes of memory: %w", bytes, err)
 	}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -119,6 +119,7 @@
 	}
 	if resp, ok := f.awaitResponse(r.Context(), req); ok {
 		defer resp.memory.Release()
+		defer f.limitWrite(r.Context(), resp)()
 		writeResponse(w, resp)
 		return
 	}
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,16 +23,18 @@
 }
 
 // startLongAnswerBackend starts a backend with answers of the longest body, except that
-// it does not answer requests with the ID "held".
-func startLongAnswerBackend(t *testing.T) (address string, held chan bool) {
+// it does not answer requests with the ID "held". received holds a value for each of the
+// first requests, and held one for each request that is not answered.
+func startLongAnswerBackend(t *testing.T) (address string, received, held chan bool) {
 	t.Helper()
-	held = make(chan bool, 1)
+	received, held = make(chan bool, 1000), make(chan bool, 1)
 	return startBackend(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		for {
 			req := readRequest(r)
 			if req == nil {
 				return
 			}
+			received <- true
 			if req.Header.Get("X-Request-Id") == "held" {
 				held <- true
 				io.Copy(io.Discard, r)
@@ -38,7 +42,7 @@
 			}
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxBodyBytes, strings.Repeat("y", maxBodyBytes))
 		}
-	}), held
+	}), received, held
 }
 
 // allMemoryIsFree reports whether no request, response or head holds memory.
@@ -69,7 +73,7 @@
 // TestMemoryIsReleased guards against memory that stays reserved for a request that has
 // ended, however it has ended: after some of them no further request would be read.
 func TestMemoryIsReleased(t *testing.T) {
-	backend, held := startLongAnswerBackend(t)
+	backend, _, held := startLongAnswerBackend(t)
 	n := startNode(t, backend)
 	lines := strings.Repeat("X-Line: a\r\n", 200)
 	for i := range 3 {
@@ -114,7 +118,7 @@
 // TestLongBodiesServedWhileOthersStall guards against clients that stop in the middle of
 // a body and so keep those that send theirs whole, at once or slowly, from being served.
 func TestLongBodiesServedWhileOthersStall(t *testing.T) {
-	backend, _ := startLongAnswerBackend(t)
+	backend, _, _ := startLongAnswerBackend(t)
 	n := startNodeOn(t, newListener(t), func(c *Config) { c.MemoryMB = 1 }, backend)
 	stalled := int(n.memory.Requests / maxBodyBytes)
 	for i := range stalled {
@@ -140,7 +144,7 @@
 // whose head needs more memory than is left is rejected, and its client receives the
 // response although the node has not read the whole head.
 func TestHeadWithoutMemoryIsRejected(t *testing.T) {
-	backend, _ := startLongAnswerBackend(t)
+	backend, _, _ := startLongAnswerBackend(t)
 	n := startNodeOn(t, newListener(t), func(c *Config) { c.MemoryMB = 1 }, backend)
 	c := n.dial(t)
 	io.WriteString(c, longPost("many", strings.Repeat("a:\r\n", 3000)))
@@ -148,3 +152,51 @@
 		t.Errorf("status %d, want 503", s)
 	}
 }
+
+// smallBufferListener is a listener whose connections have the smallest send buffer.
+type smallBufferListener struct{ net.Listener }
+
+func (l smallBufferListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		err = c.(*net.TCPConn).SetWriteBuffer(1)
+	}
+	return c, err
+}
+
+// dialWithSmallBuffer connects a client with the smallest receive buffer. The buffer is
+// set before the connection is made, because later the kernel keeps what it has offered.
+func (n *testNode) dialWithSmallBuffer(t *testing.T) net.Conn {
+	t.Helper()
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		controlErr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1)
+		})
+		return errors.Join(controlErr, err)
+	}}
+	c, err := dialer.Dial("tcp", n.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// TestResponsesToClientsThatDoNotRead guards against clients that do not read their
+// responses and so keep memory from the responses of others.
+func TestResponsesToClientsThatDoNotRead(t *testing.T) {
+	backend, received, _ := startLongAnswerBackend(t)
+	n := startNodeOn(t, smallBufferListener{newListener(t)}, func(c *Config) { c.MemoryMB = 1 }, backend)
+	blocked := int(n.memory.Responses / maxBodyBytes)
+	for i := range blocked { // one after the other, so that none is shed
+		c := n.dialWithSmallBuffer(t)
+		io.WriteString(c, postText(fmt.Sprint("blocked", i), "60"))
+		receive(t, received, "the request")
+		waitUntil(t, "the response to be written", func() bool { return n.openRequests(t) == 0 && n.connectionsInRequest() == i+1 })
+	}
+	c := n.dial(t)
+	c.sendPost(t, "usual", "4")
+	if s := c.status(t); s != http.StatusOK {
+		t.Errorf("status %d, want 200", s)
+	}
+}
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -50,6 +51,37 @@
 	w.Write(resp.body)
 }
 
+// limitWrite limits the write of a response that holds memory. Once others wait for
+// memory, a client that has not read the response within stallThreshold loses it: the
+// write fails, and the connection ends in the middle of the response. The caller calls
+// stop when the response is written, before the connection carries another one.
+func (f *frontend) limitWrite(ctx context.Context, resp response) (stop func()) {
+	c, ok := ctx.Value(clientConnKey{}).(*clientConn)
+	if !ok || !resp.memory.Held() {
+		return func() {}
+	}
+	written, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(stallThreshold)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-written:
+				return
+			case <-ticker.C:
+			}
+			if f.node.responseMemory.Short() {
+				c.Conn.SetWriteDeadline(pastDeadline)
+			}
+		}
+	}()
+	return func() {
+		close(written)
+		<-ended
+	}
+}
+
 // reject answers a request that cannot be parsed and closes its connection. The
 // bytes that follow may be part of this request's body from the client's point of
 // view, so none of them may be parsed as a request. The response does not wait for
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -35,6 +35,9 @@
 // ResponseMemory is what a response takes of the budgets of a pool.
 type ResponseMemory struct{ head, body memory.Reservation }
 
+// Held reports whether the response holds memory for its body.
+func (m *ResponseMemory) Held() bool { return m.body.Held() }
+
 // Release returns the memory to its budgets. Further calls have no effect.
 func (m *ResponseMemory) Release() {
 	m.head.Release()
