Node: a client's timeout holds a request no longer than clients of the classes wait

Cause: X-Deadline was taken up to an hour, so one client could keep memory and a connection for that long by a request to an endpoint that hangs.

Change: the timeout counts as the longest deadline of the classes plus 5 s at most, the age up to which IDs are remembered; there is no such limit if a class states no deadline. The memory plan also subtracts the endpoints of the configuration.

Result: TestTimeoutOfClientIsLimited; an hour counted as an hour before.

--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -11,6 +11,7 @@
 	recentIDBytes         = 2 << 20  // the IDs that the node remembers
 	clientConnBytes       = 16 << 10 // a client's connection with a request that fits UnreservedBytes
 	endpointConnBytes     = 8 << 10  // a connection to an endpoint with an exchange of that size
+	endpointBytes         = 3 << 10  // an endpoint of the list
 	runtimeLimitNumerator = 3        // the runtime's soft limit is 3/4 of the node's limit; the
 	runtimeLimitDivisor   = 4        // rest is for the program's own file and for peaks between two collections
 )
@@ -34,10 +35,11 @@
 	ReadAhead    int64 // bytes read ahead of a client's next requests
 }
 
-// NewPlan divides a limit in MB for a node with at most these numbers of connections.
-func NewPlan(limitMB, clientConns, endpointConns int) Plan {
+// NewPlan divides a limit in MB for a node with at most these numbers of connections and
+// about this number of endpoints.
+func NewPlan(limitMB, clientConns, endpointConns, endpoints int) Plan {
 	runtimeLimit := int64(limitMB) << 20 / runtimeLimitDivisor * runtimeLimitNumerator
-	fixed := runtimeBytes + recentIDBytes + int64(clientConns)*clientConnBytes + int64(endpointConns)*endpointConnBytes
+	fixed := runtimeBytes + recentIDBytes + int64(clientConns)*clientConnBytes + int64(endpointConns)*endpointConnBytes + int64(endpoints)*endpointBytes
 	// A third is left for buffers that have been released and are not collected yet.
 	available := (runtimeLimit - fixed) / 3 * 2
 	return Plan{
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -78,7 +78,7 @@
 // MemoryPlan returns how the node divides its memory limit.
 func (c Config) MemoryPlan() memory.Plan {
 	clients, endpoints := c.Connections()
-	return memory.NewPlan(c.MemoryMB, clients, endpoints)
+	return memory.NewPlan(c.MemoryMB, clients, endpoints, len(c.Known.Endpoints))
 }
 
 // longestDeadline returns the longest deadline of all request classes: no client waits
@@ -91,6 +91,18 @@
 	return longest
 }
 
+// maxTimeout returns the longest time for which a client may let a request wait,
+// whatever its timeout: no client of the classes waits for longer, and until then the
+// request holds a connection and memory.
+func (c Config) maxTimeout() time.Duration {
+	for _, class := range c.Settings.Classes {
+		if class.Deadline <= 0 {
+			return maxClientTimeout
+		}
+	}
+	return min(c.longestDeadline()+maxRequestAgeMargin, maxClientTimeout)
+}
+
 // LoadConfig reads the configuration file at path.
 func LoadConfig(path string) (Config, error) {
 	raw, err := readRetrying(func() ([]byte, error) { return os.ReadFile(path) })
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -36,6 +36,7 @@
 	idempotency    map[string]balancer.Idempotency // by class name
 	connections    *connectionLimiter              // set by serve
 	requestMemory  *memory.Budget                  // for clients' requests
+	maxTimeout     time.Duration                   // of a request
 	phases         shutdownPhases
 
 	// keepServing blocks until the first phase of the shutdown is over.
@@ -52,6 +53,7 @@
 		maxConnections: maxConnections,
 		idempotency:    map[string]balancer.Idempotency{},
 		requestMemory:  memory.NewBudget(n.memory.Requests),
+		maxTimeout:     n.cfg.maxTimeout(),
 	}
 	for _, class := range n.cfg.Settings.Classes {
 		f.idempotency[class.Name] = class.Idempotency
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -200,3 +200,23 @@
 		t.Errorf("status %d, want 200", s)
 	}
 }
+
+// TestTimeoutOfClientIsLimited guards against requests that hold a connection and memory
+// for as long as their client asks: the longest time that clients of the classes wait is
+// the limit, and there is none if a class states no time.
+func TestTimeoutOfClientIsLimited(t *testing.T) {
+	c := testConfig("")
+	longest := 2*testTimeout + maxRequestAgeMargin
+	if got := c.maxTimeout(); got != longest {
+		t.Errorf("the limit is %v, want %v", got, longest)
+	}
+	n := New(c, discardLog)
+	req := (&testNode{Node: n}).request(t, http.MethodGet, "saldo", "q", "3600", nil)
+	if _, timeout, err := n.frontend.parseHead(req); timeout != longest || err != nil {
+		t.Errorf("a timeout of an hour counts as %v, %v; want %v", timeout, err, longest)
+	}
+	c.Settings.Classes[0].Deadline = 0
+	if got := c.maxTimeout(); got != maxClientTimeout {
+		t.Errorf("with a class without a deadline the limit is %v, want %v", got, maxClientTimeout)
+	}
+}
--- a/internal/node/parse.go
+++ b/internal/node/parse.go
@@ -98,6 +98,7 @@
 	if err != nil {
 		return arrival, 0, rejectionf(http.StatusBadRequest, headerDeadline+": %w", err)
 	}
+	timeout = min(timeout, f.maxTimeout)
 	arrival.Tenant = r.Header.Get(headerTenant)
 	arrival.IsRetry = r.Header.Get(headerRetry) == retryValue
 	arrival.WorkHint, arrival.HasWorkHint = parseWorkHint(r.Header.Get(headerWorkHint))
