Node: bytes beyond the shared read-ahead wait in the kernel, their client is not aborted

Change: reading ahead pauses. Only a client that exceeds the limit of its own connection is aborted.

--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -8,7 +8,8 @@
 
 // Limits of the bytes read ahead. A client may send many requests at once; all of
 // them are served, one after the other. The connection of a client that exceeds
-// the limit after a request that is still open is aborted.
+// maxReadAhead after a request that is still open is aborted. While all connections
+// together exceed their share, less is read ahead and the rest waits in the kernel.
 const (
 	maxReadAhead       = 128 << 10 // for one connection
 	maxReadAheadScarce = 16 << 10  // for one connection while all connections together exceed their share, at most
@@ -105,20 +106,24 @@
 	return false
 }
 
-// readAheadFull reports whether the connection has exceeded its read-ahead
-// limit. The caller holds c.mu.
+// readAheadFull reports whether no more may be read ahead on the connection. The caller
+// holds c.mu.
 func (c *clientConn) readAheadFull() bool {
 	limits := c.limiter.memory
 	scarce := c.limiter.readAheadBytes.Load() > limits.readAhead
-	return c.readAhead.size > maxReadAhead || scarce && c.readAhead.memory > limits.readAheadScarce
+	return c.flooded() || scarce && c.readAhead.memory > limits.readAheadScarce
 }
 
+// flooded reports whether the client has exceeded the read-ahead limit of a connection.
+// The caller holds c.mu.
+func (c *clientConn) flooded() bool { return c.readAhead.size > maxReadAhead }
+
 // abortIfFlooded aborts the connection of a client that has exceeded the
 // read-ahead limit after an open request. Once the request has been answered
 // the limit does not abort the connection: the client may already be sending
 // its next request, however long that is. The caller holds c.mu.
 func (c *clientConn) abortIfFlooded() {
-	if c.requestOpen && c.readAheadFull() {
+	if c.requestOpen && c.flooded() {
 		c.abort(errFlooded)
 	}
 }
