--- a/internal/node/connlimit.go
+++ b/internal/node/connlimit.go
@@ -184,6 +184,13 @@
 // clientConnKey is the context key of a request's *clientConn.
 type clientConnKey struct{}
 
+// clientConnOf returns the connection whose requests have this context, or false if it
+// is none of a connectionLimiter.
+func clientConnOf(ctx context.Context) (c *clientConn, ok bool) {
+	c, ok = ctx.Value(clientConnKey{}).(*clientConn)
+	return c, ok
+}
+
 // connContext returns the context for the requests of a connection. It is
 // canceled when the client is found to have disconnected, or has exceeded the
 // read-ahead limit after an open request. It is an http.Server.ConnContext hook.
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -89,7 +89,7 @@
 
 // ServeHTTP answers the health checks and passes requests to the node.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok {
+	if c, ok := clientConnOf(r.Context()); ok {
 		c.startBody(r.ContentLength)
 	}
 	if f.closing.Load() {
@@ -135,7 +135,7 @@
 // returns false if the client has disconnected or the node's event loop has
 // ended.
 func (f *frontend) awaitResponse(ctx context.Context, req *request) (response, bool) {
-	if c, ok := ctx.Value(clientConnKey{}).(*clientConn); ok {
+	if c, ok := clientConnOf(ctx); ok {
 		c.setRequestOpen(true)
 		defer c.setRequestOpen(false) // before the client can receive the response
 		if c.clientDisconnected(ctx) {
--- a/internal/node/parse.go
+++ b/internal/node/parse.go
@@ -74,7 +74,7 @@
 // requestReceivedAt returns the arrival time of the bytes from which the request's
 // head was read.
 func requestReceivedAt(r *http.Request) time.Time {
-	if c, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok {
+	if c, ok := clientConnOf(r.Context()); ok {
 		return c.lastReceivedAt()
 	}
 	return time.Now()
@@ -207,7 +207,7 @@
 // until the request's deadline at most, and for no longer than a request may take to
 // arrive.
 func (f *frontend) reserveRequest(r *http.Request, deadline time.Time) (memory.Reservation, error) {
-	c, ok := r.Context().Value(clientConnKey{}).(*clientConn)
+	c, ok := clientConnOf(r.Context())
 	if !ok {
 		return memory.Reservation{}, nil
 	}
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -56,7 +56,7 @@
 // write fails, and the connection ends in the middle of the response. The caller calls
 // stop when the response is written, before the connection carries another one.
 func (f *frontend) limitWrite(ctx context.Context, resp response) (stop func()) {
-	c, ok := ctx.Value(clientConnKey{}).(*clientConn)
+	c, ok := clientConnOf(ctx)
 	if !ok || !resp.memory.Held() {
 		return func() {}
 	}
@@ -88,7 +88,7 @@
 // the body.
 func reject(w http.ResponseWriter, r *http.Request, err error) {
 	w.Header().Set("Connection", "close")
-	if c, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok {
+	if c, ok := clientConnOf(r.Context()); ok {
 		if c.wasExpiredForSlot() {
 			closeAfterResponse(w)
 			return
