Node: a rejected request's body is read after the response, not left unread

Cause: rejects such a body by its length, before reading it. net/http reads no rest of a body if the request asks to close the connection, and a close with unread bytes resets it. Bodies that get no memory were rejected unread in the same way.

--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -153,6 +153,25 @@
 	}
 }
 
+// TestRequestWithoutMemoryIsRejected guards against a request that gets no final answer:
+// one that gets no memory in its time is rejected, and its client receives the response
+// although the node has not read the body and closes the connection.
+func TestRequestWithoutMemoryIsRejected(t *testing.T) {
+	backend, _, _ := startLongAnswerBackend(t)
+	n := startNode(t, backend)
+	for range 2 { // both halves, as other requests would hold them
+		if _, err := n.frontend.requestMemory.Reserve(t.Context(), nil, int(n.memory.Requests/2), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c := n.dial(t)
+	text := strings.Replace(longPost("q", "Connection: close\r\n"), "X-Deadline: 60", "X-Deadline: 0.2", 1)
+	go io.WriteString(c, text)
+	if s := c.status(t); s != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", s)
+	}
+}
+
 // smallBufferListener is a listener whose connections have the smallest send buffer.
 type smallBufferListener struct{ net.Listener }
 
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -85,7 +85,9 @@
 // reject answers a request that cannot be parsed and closes its connection. The
 // bytes that follow may be part of this request's body from the client's point of
 // view, so none of them may be parsed as a request. The response does not wait for
-// the body.
+// the body. What is left of the body is read and dropped afterwards, up to the longest
+// that a body may have: the kernel resets a connection that is closed with unread bytes,
+// and the client might not receive the response.
 func reject(w http.ResponseWriter, r *http.Request, err error) {
 	w.Header().Set("Connection", "close")
 	if c, ok := clientConnOf(r.Context()); ok {
@@ -100,7 +102,14 @@
 	if errors.As(err, &reason) {
 		status = reason.status
 	}
-	http.Error(w, err.Error(), status)
+	message := err.Error() + "\n"
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(message)))
+	w.WriteHeader(status)
+	io.WriteString(w, message)
+	http.NewResponseController(w).Flush()
+	// After a body that is too long, net/http closes the connection with a delay.
+	io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBodyBytes))
 }
 
 // closeAfterResponse rejects an incomplete request and closes its connection at
