Node: release the memory of a request whose client has left before it is posted

Fault: a client that sends a request above 4 KiB and leaves at once kept its memory reserved for good. After some of them (a node of 32 MB: about 40 of the longest) further long requests waited and got 503.

Cause: awaitResponse returns before the request is posted to the loop, which releases the memory of all others.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -139,6 +139,7 @@
 		c.setRequestOpen(true)
 		defer c.setRequestOpen(false) // before the client can receive the response
 		if c.clientDisconnected(ctx) {
+			req.memory.Release() // the loop never learns of the request
 			return response{}, false
 		}
 		req.upstream.ClientDisconnected = c.clientDisconnectedNow
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -96,6 +96,13 @@
 		}
 		c.Close()
 	})
+	t.Run("client leaves at once", func(t *testing.T) {
+		for i := range 20 {
+			c := n.dial(t)
+			io.WriteString(c, longPost(fmt.Sprint("left", i), ""))
+			n.disconnect(t, c)
+		}
+	})
 	t.Run("half a body", func(t *testing.T) {
 		c := n.dial(t)
 		text := longPost("half", lines)
