Node: one age limit, one check of a response's length, one way to drop bytes

Cause: read once more.

Change: Config.maxRequestAge serves both, readBody checks every body, rejectHead copies to io.Discard.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -136,7 +136,7 @@
 	if n == 0 || c.reserveHead() {
 		return n, err
 	}
-	c.rejectHead(b)
+	c.rejectHead()
 	return 0, io.EOF // net/http then closes the connection without a response of its own
 }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -100,7 +100,13 @@
 			return maxClientTimeout
 		}
 	}
-	return min(c.longestDeadline()+maxRequestAgeMargin, maxClientTimeout)
+	return min(c.maxRequestAge(), maxClientTimeout)
+}
+
+// maxRequestAge returns how long a request may have waited on this machine; an older one
+// is rejected.
+func (c Config) maxRequestAge() time.Duration {
+	return c.longestDeadline() + maxRequestAgeMargin
 }
 
 // LoadConfig reads the configuration file at path.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,7 +60,7 @@
 
 // New returns a node; Run starts it.
 func New(cfg Config, log *slog.Logger) *Node {
-	maxRequestAge := cfg.longestDeadline() + maxRequestAgeMargin
+	maxRequestAge := cfg.maxRequestAge()
 	n := &Node{
 		cfg:           cfg,
 		log:           log,
--- a/internal/node/receivedparts.go
+++ b/internal/node/receivedparts.go
@@ -76,13 +76,9 @@
 // of memory. It reads and drops what the client still sends, for rejectionTimeout at
 // most: the kernel resets a connection that is closed with unread bytes, and the client
 // might not receive the response.
-func (c *clientConn) rejectHead(scratch []byte) {
+func (c *clientConn) rejectHead() {
 	c.Conn.SetDeadline(time.Now().Add(rejectionTimeout))
 	io.WriteString(c.Conn, bareRejection)
 	c.CloseWrite()
-	for {
-		if _, err := c.Conn.Read(scratch); err != nil {
-			return
-		}
-	}
+	io.Copy(io.Discard, c.Conn)
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -101,13 +101,27 @@
 // does not close resp.Body, as Close would go on reading until the end of the body,
 // which may never come.
 func (c *conn) readBody(ctx context.Context, resp *http.Response) ([]byte, memory.Reservation, error) {
-	switch {
-	case resp.ContentLength > maxBodySize:
+	if resp.ContentLength > maxBodySize {
 		return nil, memory.Reservation{}, fmt.Errorf("Content-Length is %d, want at most %d", resp.ContentLength, maxBodySize)
-	case resp.ContentLength >= 0:
-		return c.readBodyOfLength(ctx, resp.Body, int(resp.ContentLength))
 	}
-	return c.readBodyToEnd(ctx, resp.Body)
+	var body []byte
+	var reserved memory.Reservation
+	var err error
+	if resp.ContentLength >= 0 {
+		body, reserved, err = c.readBodyOfLength(ctx, resp.Body, int(resp.ContentLength))
+	} else {
+		body, reserved, err = c.readBodyToEnd(ctx, resp.Body)
+	}
+	if err != nil {
+		return nil, reserved, err
+	}
+	// If the response states no length, running out of readBudget looks like the end
+	// of the body.
+	if len(body) > maxBodySize || c.readBudget.N <= 0 {
+		return nil, reserved, fmt.Errorf("response too long: want at most %d bytes of body, and %d with heads and framing",
+			maxBodySize, maxHeadSize+maxFramedBodySize)
+	}
+	return body, reserved, nil
 }
 
 // readBodyOfLength reads a body whose length the response states.
@@ -122,7 +136,8 @@
 	return body, reserved, err
 }
 
-// readBodyToEnd reads a body whose length the response does not state.
+// readBodyToEnd reads a body whose length the response does not state, up to one byte
+// more than a body may have.
 func (c *conn) readBodyToEnd(ctx context.Context, r io.Reader) ([]byte, memory.Reservation, error) {
 	start, err := io.ReadAll(io.LimitReader(r, memory.UnreservedBytes))
 	if err != nil || len(start) < memory.UnreservedBytes {
@@ -136,16 +151,8 @@
 	const spare = 1 + bytes.MinRead // for the byte that is too many, and so that ReadFrom allocates nothing
 	body := bytes.NewBuffer(make([]byte, 0, maxBodySize+spare))
 	body.Write(start)
-	if _, err := body.ReadFrom(io.LimitReader(r, maxBodySize+1-int64(len(start)))); err != nil {
-		return nil, reserved, err
-	}
-	// If the response states no length, running out of readBudget looks like the end
-	// of the body.
-	if body.Len() > maxBodySize || c.readBudget.N <= 0 {
-		return nil, reserved, fmt.Errorf("response too long: want at most %d bytes of body, and %d with heads and framing",
-			maxBodySize, maxHeadSize+maxFramedBodySize)
-	}
-	return body.Bytes(), reserved, nil
+	_, err = body.ReadFrom(io.LimitReader(r, maxBodySize+1-int64(len(start))))
+	return body.Bytes(), reserved, err
 }
 
 // responseOutcome returns the balancer's outcome for a complete response.
