--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -35,6 +35,7 @@
 var cases = map[string]playCase{
 	"end-with-pipeline": playEndWithPipeline,
 	"much-and-go":       playMuchAndGo,
+	"long-pipeline":     playLongPipeline,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
