--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -34,6 +34,7 @@
 
 var cases = map[string]playCase{
 	"end-with-pipeline": playEndWithPipeline,
+	"end-with-crowd":    playEndWithCrowd,
 	"much-and-go":       playMuchAndGo,
 	"long-pipeline":     playLongPipeline,
 }
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -22,6 +22,7 @@
 // the record.
 type world struct {
 	trouble   bool // play the disruption
+	short     bool // the deadlines of the classes are short
 	folder    string
 	began     time.Time
 	discovery *agent
@@ -231,6 +232,9 @@
 const (
 	longestDeadline = 1500 * time.Millisecond
 	drainGrace      = time.Second
+
+	// shortDeadlineFraction is the part of the usual deadlines that holds where they are short.
+	shortDeadlineFraction = 3
 )
 
 // configuration returns the node's configuration. Its settings are those of a small
@@ -238,6 +242,9 @@
 func (w *world) configuration(listen string, memoryMB, sockets int) []byte {
 	ms := func(n int) int64 { return int64(n) * int64(time.Millisecond) }
 	class := func(name, effect, scope string, aim, giveUp, window int, importance float64) object {
+		if w.short {
+			aim, giveUp = aim/shortDeadlineFraction, giveUp/shortDeadlineFraction
+		}
 		return object{"name": name, "effect": effect, "key_scope": scope, "aim_ns": ms(aim), "give_up_ns": ms(giveUp),
 			"dedup_window_ns": ms(window), "importance": importance, "late_worth": 0.5, "streamed": false}
 	}
