--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -33,10 +33,11 @@
 type playCase func(w *world) (broken int, err error)
 
 var cases = map[string]playCase{
-	"end-with-pipeline": playEndWithPipeline,
-	"end-with-crowd":    playEndWithCrowd,
-	"much-and-go":       playMuchAndGo,
-	"long-pipeline":     playLongPipeline,
+	"end-with-pipeline":  playEndWithPipeline,
+	"crowd-and-pipeline": playCrowdAndPipeline,
+	"end-with-crowd":     playEndWithCrowd,
+	"much-and-go":        playMuchAndGo,
+	"long-pipeline":      playLongPipeline,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
