Begin no attempt while the client's end could not be seen

Cause: TCP sends the end of a connection behind all data. Behind a full receive buffer it stays on the client's machine, and nobody asked whether it could be seen. A trace of 50 late attempts showed a receive window of 0 for each, with 65 to 129 KB unread, and reading ahead that had stopped for memory and did not go on.

Change: sockets.InspectAcknowledged tells whether the end could be seen: the window has room for the longest segment after everything is acknowledged. Without that no attempt begins, the first, a later or a hedged one (awaitClientState). Reading ahead goes on once memory is free. The receive buffer of a client's connection has a fixed size that holds 128 KiB.

Why it works: a peer keeps back only what does not fit into the window that it knows.

--- a/internal/node/arrival.go
+++ b/internal/node/arrival.go
@@ -27,8 +27,10 @@
 	// Taken first: if the process is paused after this line, the result is too early,
 	// not too late.
 	now := time.Now()
-	if age := sockets.SinceLastReceived(c.Conn); age > 0 {
-		return now.Add(-age)
+	state := sockets.Inspect(c.Conn)
+	c.noteWindow(state, now)
+	if state.SinceReceived > 0 {
+		return now.Add(-state.SinceReceived)
 	}
 	return cmp.Or(c.queuedSince, now)
 }
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -90,6 +90,10 @@
 	} else {
 		a.result.Memory.Release()
 	}
+	if a.result.Outcome == balancer.NotSent && r.clientHidden.Load() && r.runningAttempts == 0 {
+		n.log.Debug("request ended, as the end of its client's connection could not be seen", "id", r.id())
+		n.endUnanswered(r)
+	}
 	n.handle(balancer.AttemptEnded{
 		ID:          r.id(),
 		Attempt:     a.number,
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -61,6 +61,9 @@
 	// present because other connections wait for a slot.
 	expiredForSlot bool
 
+	// windowFullAt is when the kernel's receive window was last found to be full.
+	windowFullAt time.Time
+
 	// servedBefore: the connection has carried a request.
 	servedBefore bool
 
--- a/internal/node/connlimit.go
+++ b/internal/node/connlimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -84,6 +85,9 @@
 		lingering:      map[*clientConn]time.Time{},
 	}
 	l.limitProcessors(float64(runtime.GOMAXPROCS(0)))
+	if err := sockets.SetReceiveBuffer(ln, receiveBuffer); err != nil && !errors.Is(err, errors.ErrUnsupported) {
+		log.Warn("setting the receive buffers of client connections failed", "err", err)
+	}
 	return l
 }
 
--- a/internal/node/disconnect_test.go
+++ b/internal/node/disconnect_test.go
@@ -318,13 +318,13 @@
 			c, client := connectionPair(t)
 			io.WriteString(client, pipelinedGets(30))
 			waitUntil(t, "the bytes to arrive", func() bool { return !sockets.IsIdle(c.Conn) })
-			if c.clientDisconnectedNow() {
+			if c.clientState() != clientPresent {
 				t.Fatal("reported as disconnected, though the connection is open")
 			}
 			client.(*net.TCPConn).SetLinger(linger)
 			client.Close()
 			disconnectedAt := time.Now()
-			for !c.clientDisconnectedNow() {
+			for c.clientState() != clientGone {
 				if time.Since(disconnectedAt) > disconnectLimit {
 					t.Fatalf("not detected %v after the disconnect", disconnectLimit)
 				}
--- a/internal/node/fairness_test.go
+++ b/internal/node/fairness_test.go
@@ -155,15 +155,20 @@
 	l.Close()
 }
 
+// useUpShares uses up the processor's shares for longer than a test takes.
+func (n *testNode) useUpShares() {
+	for range 1000 {
+		n.frontend.connections.processor.ChargeSurplus(time.Now(), time.Second)
+	}
+}
+
 // TestDepartureIsFoundWhileShareIsUsedUp guards against an open request whose client leaves
 // behind many unread bytes, which the node reads too slowly because the processor's shares
 // are used up.
 func TestDepartureIsFoundWhileShareIsUsedUp(t *testing.T) {
 	backend, got, disconnected := startStallingBackend(t)
 	n := startNodeOn(t, newListener(t), func(c *Config) { c.Cores = 0.01 }, backend)
-	for range 1000 {
-		n.frontend.connections.processor.ChargeSurplus(time.Now(), time.Second)
-	}
+	n.useUpShares()
 	c := n.dial(t)
 	c.sendGet(t, "saldo", "q", "60")
 	receive(t, got, "the attempt")
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -148,11 +148,11 @@
 	if c, ok := clientConnOf(ctx); ok {
 		c.setRequestOpen(true)
 		defer c.setRequestOpen(false) // before the client can receive the response
-		if c.clientDisconnected(ctx) {
+		if req.clientLeft(ctx, c) && !req.clientHidden.Load() {
 			req.memory.Release() // the loop never learns of the request
 			return response{}, false
 		}
-		req.upstream.ClientDisconnected = c.clientDisconnectedNow
+		req.upstream.ClientDisconnected = func() bool { return req.clientLeft(ctx, c) }
 	}
 	req.ctx, req.cancel = context.WithCancel(ctx)
 	defer req.cancel()
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -11,12 +11,17 @@
 // Limits of the bytes read ahead. A client may send many requests at once; all of
 // them are served, one after the other. The connection of a client that exceeds
 // maxReadAhead after a request that is still open is aborted. While all connections
-// together exceed their share, less is read ahead and the rest waits in the kernel.
+// together exceed their share, less is read ahead and the rest waits in the kernel. No
+// attempt begins while the rest does not fit there; see awaitClientState.
 const (
 	maxReadAhead       = 128 << 10 // for one connection
 	maxReadAheadScarce = 16 << 10  // for one connection while all connections together exceed their share, at most
 	minReadAheadScarce = 4 << 10   // the same, at least
 	defaultReadAhead   = 4 << 20   // share of all connections of a limiter together, unless limitMemory sets another
+
+	// receiveBuffer is the size of the kernel's receive buffer of a connection. The client's
+	// end is seen behind as much, however little is read ahead.
+	receiveBuffer = maxReadAhead
 )
 
 var errFlooded = errors.New("client exceeded the read-ahead limit while its request was open")
@@ -153,12 +158,18 @@
 	return c.flooded() || scarce && c.readAhead.memory > limits.readAheadScarce
 }
 
-// readAheadPaused reports whether bytes that the client has sent stay unread until its
-// request is answered.
-func (c *clientConn) readAheadPaused() bool {
+// resumeReadAhead continues to read ahead if that has stopped because memory was scarce. It
+// reports false if what the client has sent stays unread until its request is answered.
+func (c *clientConn) resumeReadAhead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.readingAhead && c.readAheadFull()
+	if !c.readingAhead && c.readAheadFull() {
+		return false
+	}
+	if c.requestOpen && !c.nextRequestAt.IsZero() {
+		c.startReadAhead(c.nextRequestAt)
+	}
+	return true
 }
 
 // flooded reports whether the client has exceeded the read-ahead limit of a connection.
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"bankshift/balancer"
@@ -40,6 +41,10 @@
 	// response, or the client has disconnected.
 	answered bool
 
+	// clientHidden: by the last check, the client has sent so much more that its end could
+	// not be seen.
+	clientHidden atomic.Bool
+
 	// ctx is canceled when the request is answered or the client is found to have
 	// disconnected, which the loop may learn of later. It is set before the request
 	// is posted to the loop.
@@ -53,6 +58,14 @@
 
 func (r *request) id() balancer.RequestID { return r.arrival.ID }
 
+// clientLeft reports whether the client has left, or may have left unseen. No attempt may
+// begin then.
+func (r *request) clientLeft(ctx context.Context, c *clientConn) bool {
+	state := c.awaitClientState(ctx)
+	r.clientHidden.Store(state == clientHidden)
+	return state != clientPresent || ctx.Err() != nil
+}
+
 // discardResponse drops the response that was sent on r.response, if there is one,
 // because nobody waits for it any more. No response may be sent afterwards.
 func (r *request) discardResponse() {
@@ -96,6 +109,9 @@
 		// It may be a copy of a request that has run and that recentIDs has forgotten, so the
 		// status must not promise that the request had no effect.
 		return response{status: http.StatusRequestTimeout}, true
+	case r.clientHidden.Load():
+		n.log.Debug("request rejected, as the end of its client's connection could not be seen", "id", r.id())
+		return n.rejection(r), true
 	case limit > 0 && len(n.requests) >= limit:
 		return n.rejection(r), true
 	}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -15,20 +15,12 @@
 // is EAGAIN if there is nothing to read, and errors.ErrUnsupported if c is not a
 // syscall.Conn.
 func Peek(c net.Conn) (n int, err error) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
 	var b [1]byte
-	controlErr := raw.Control(func(fd uintptr) {
-		n, err = peek(int(fd), b[:])
+	controlErr := control(c, func(fd int) {
+		n, err = peek(fd, b[:])
 	})
 	if controlErr != nil {
-		return 0, controlErr // c was closed on this side
+		return 0, controlErr
 	}
 	return n, err
 }
--- a/internal/sockets/tcpinfo.go
+++ b/internal/sockets/tcpinfo.go
@@ -1,6 +1,7 @@
 package sockets
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -8,46 +9,119 @@
 	"golang.org/x/sys/unix"
 )
 
-// SinceLastReceived returns the time since c last received data, read or unread,
-// according to the kernel (TCP_INFO, see tcp(7)). Its resolution is the kernel tick,
-// 10 ms at most. It returns 0 if there is no such figure: c is not TCP, has been
-// closed on this side, or is carried by a network stack that does not keep it.
-func SinceLastReceived(c net.Conn) time.Duration {
-	info := tcpInfo(c)
-	if info == nil {
-		return 0
-	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond
+// State is what the kernel knows of a TCP connection (TCP_INFO, see tcp(7)).
+type State struct {
+	// SinceReceived is the time since data was last received, read or unread. Its
+	// resolution is the kernel tick, 10 ms at most.
+	SinceReceived time.Duration
+
+	// PeerClosed: the peer has ended the connection or reset it, perhaps behind data
+	// that has not been read.
+	PeerClosed bool
+
+	// WindowFull: the receive window may have no room for the next segment, because of
+	// data that has not been read. Whatever the peer has sent after that data, and the
+	// end of the connection too, stays on the peer's machine.
+	WindowFull bool
+}
+
+// Inspect returns the state of c. It returns the zero State if c has been closed on this
+// side or is not a syscall.Conn. Where the network stack does not keep the state, the
+// receive window counts as full while there is unread data.
+func Inspect(c net.Conn) State {
+	var state State
+	control(c, func(fd int) { state, _ = inspect(fd) })
+	return state
+}
+
+// InspectAcknowledged is Inspect after everything that has been received is acknowledged.
+// Otherwise the window that was advertised last may have been filled since, as the kernel
+// delays acknowledgments. While data is being received, the window counts as full.
+func InspectAcknowledged(c net.Conn) State {
+	var state State
+	control(c, func(fd int) {
+		var before, after uint64
+		state, before = inspect(fd)
+		if state.PeerClosed {
+			return
+		}
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_QUICKACK, 1) // sends an acknowledgment that is due
+		state, after = inspect(fd)
+		if before != after {
+			state.WindowFull = true
+		}
+	})
+	return state
 }
 
-// PeerClosed reports whether the peer has ended the connection or reset it,
-// according to TCP_INFO. Unlike Peek, it also detects an end behind data that has
-// not been read. It returns false if there is no TCP_INFO.
-func PeerClosed(c net.Conn) bool {
-	info := tcpInfo(c)
-	return info != nil && peerClosed(info)
+// inspect returns the state of a connection, and how many bytes it has received.
+func inspect(fd int) (state State, received uint64) {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return State{WindowFull: unread(fd) > 0}, 0
+	}
+	return State{
+		SinceReceived: time.Duration(info.Last_data_recv) * time.Millisecond,
+		PeerClosed:    peerClosed(info),
+		WindowFull:    windowFull(fd, info),
+	}, info.Bytes_received
 }
 
+// SinceLastReceived returns the time since c last received data; see State.
+func SinceLastReceived(c net.Conn) time.Duration { return Inspect(c).SinceReceived }
+
+// PeerClosed reports whether the peer has ended the connection or reset it. Unlike Peek,
+// it also detects an end behind data that has not been read.
+func PeerClosed(c net.Conn) bool { return Inspect(c).PeerClosed }
+
 func peerClosed(info *unix.TCPInfo) bool {
 	return info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE
 }
 
-// tcpInfo returns the TCP_INFO of c, or nil if there is none.
-func tcpInfo(c net.Conn) *unix.TCPInfo {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return nil
+// windowFull reports whether the window that was advertised last has room for less than
+// the longest segment: the peer keeps back a segment that does not fit. Linux before 6.2
+// reports a window of 0, which counts as full while there is unread data.
+func windowFull(fd int, info *unix.TCPInfo) bool {
+	if info.Rcv_wnd == 0 {
+		return unread(fd) > 0
 	}
-	raw, err := sc.SyscallConn()
+	return info.Rcv_wnd < info.Advmss
+}
+
+// unread returns how many bytes can be read; 0 if that is not known.
+func unread(fd int) int {
+	n, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
 	if err != nil {
-		return nil
+		return 0
 	}
-	var info *unix.TCPInfo
-	raw.Control(func(fd uintptr) { // an error means that c was closed on this side; info is nil then
-		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	return n
+}
+
+// SetReceiveBuffer sets the size of the receive buffers of the connections that l will
+// accept, in bytes of data; the kernel allows as much again for its own overhead. It
+// returns errors.ErrUnsupported if l is not a syscall.Conn.
+func SetReceiveBuffer(l net.Listener, size int) error {
+	var err error
+	controlErr := control(l, func(fd int) {
+		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, size)
 	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+// control calls f with the descriptor of a connection or a listener. It returns
+// errors.ErrUnsupported if that is not a syscall.Conn, and an error if it has been
+// closed.
+func control(c any, f func(fd int)) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
 	if err != nil {
-		return nil
+		return err
 	}
-	return info
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
--- a/internal/sockets/unread.go
+++ b/internal/sockets/unread.go
@@ -14,7 +14,7 @@
 // before, and errors.ErrUnsupported if c does not tell how many bytes it holds. Nobody
 // else may read from c meanwhile.
 //
-// The kernel's receive buffer is enlarged if it could not hold n bytes.
+// The kernel's receive buffer must be able to hold n bytes.
 func AwaitUnread(c net.Conn, n int) error {
 	if n <= 0 {
 		return nil
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -30,7 +30,7 @@
 type Request struct {
 	Method             string
 	Body               []byte
-	ClientDisconnected func() bool // reports whether the client has disconnected; nil if that is not known; set before the first attempt
+	ClientDisconnected func() bool // reports whether the client has disconnected or may have, unseen; nil if that is not known; set before the first attempt
 
 	// head is the encoded head without the X-Deadline header, whose value is known only
 	// when the request is sent, and without the empty line at its end.
