Lab: a canceled wait for a node reports the cancel, also if the node has exited

Cause: the cancel kills the node, so AwaitReady's select had two events ready and reported either.

Change: the error wraps that of the context as well.

Result: TestCanceledWaitReportsCancel failed before the change; it and the tests beside it passed 5 times under the race detector.

--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -150,6 +150,20 @@
 	}
 }
 
+// TestCanceledWaitReportsCancel guards against an AwaitReady that reports only the exit of
+// a node which has exited because its context was canceled.
+func TestCanceledWaitReportsCancel(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	p := &Process{Name: "n0", Address: "127.0.0.1:1", err: errors.New("signal: killed"), ended: make(chan struct{})}
+	close(p.ended)
+	for range 100 { // a select between two events that are both ready chooses at random
+		if err := p.AwaitReady(ctx, time.Now()); !errors.Is(err, context.Canceled) {
+			t.Fatalf("AwaitReady returned %v, want %v", err, context.Canceled)
+		}
+	}
+}
+
 // childProcesses returns the process ids of the children of all threads of this
 // process.
 func childProcesses(t *testing.T) string {
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -78,7 +78,8 @@
 
 // AwaitReady waits until the node answers 200 at /health/ready, and sets Ready
 // to the time since began. It fails if the process exits first, or after
-// ReadyTimeout.
+// ReadyTimeout. Its error wraps that of ctx if ctx has ended, also if the process has
+// exited because of that.
 func (p *Process) AwaitReady(ctx context.Context, began time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, ReadyTimeout)
 	defer cancel()
@@ -94,7 +95,7 @@
 		}
 		select {
 		case <-p.ended:
-			return fmt.Errorf("fleet: %s ended before it was ready: %w\n%s", p.Name, errors.Join(p.err), p.Log())
+			return fmt.Errorf("fleet: %s ended before it was ready: %w\n%s", p.Name, errors.Join(p.err, ctx.Err()), p.Log())
 		case <-ctx.Done():
 			return fmt.Errorf("fleet: %s is not ready: %w\n%s", p.Name, ctx.Err(), p.Log())
 		case <-time.After(readyInterval):
