Shutdown: accept what waits in the listener's queue before it is closed

Cause: the listener was closed 0.6 s after SIGTERM whether or not connections waited in its queue.

Change: it stays open while the kernel reports that connections wait, until all requests have to be answered.

Why it works: new connections come for 0.4 s at most, and the queue is served in turn.

--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"bankshift/internal/sockets"
 )
 
 // SIGKILL may follow SIGTERM after the longest deadline of all classes, but at most
@@ -31,7 +33,7 @@
 // the stop signal.
 type shutdownPhases struct {
 	keepServing time.Duration // connections are kept open; then clients are asked to close
-	accepted    time.Duration // new connections are accepted at least until then
+	accepted    time.Duration // new connections are accepted at least until then, and until answered while some wait
 	answered    time.Duration // all requests are answered
 	closed      time.Duration // the remaining connections are closed
 }
@@ -80,6 +82,7 @@
 
 	closedBy := began.Add(f.phases.closed)
 	f.drainUntil(began.Add(f.phases.accepted))
+	f.drainWhileQueued(ln, began.Add(f.phases.answered))
 	ln.Close()
 	f.drainWhileOpen(closedBy)
 	f.connections.stopWaiting() // until here, the connection that was accepted last may wait for a slot
@@ -98,6 +101,16 @@
 	}
 }
 
+// drainWhileQueued drains the idle connections while others wait in the listener's queue,
+// at most until the deadline. The queue is reset with the listener, although its clients
+// may have sent requests.
+func (f *frontend) drainWhileQueued(ln net.Listener, deadline time.Time) {
+	for time.Now().Before(deadline) && sockets.QueueLength(ln) > 0 {
+		f.connections.drain(time.Now())
+		time.Sleep(drainInterval)
+	}
+}
+
 // drainWhileOpen drains the idle connections until no connection is open, at most
 // until the deadline.
 func (f *frontend) drainWhileOpen(deadline time.Time) {
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -283,6 +283,41 @@
 	}
 }
 
+// TestShutdownServesListenerQueue guards against resetting connections that wait in the
+// listener's queue with a request at the end of the time for new ones (review case 8).
+func TestShutdownServesListenerQueue(t *testing.T) {
+	const queued = 5
+	release := make(chan bool)
+	backend := startBackend(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			<-release
+			io.WriteString(c, okResponse)
+		}
+	})
+	n := startNodeOn(t, newListener(t), func(c *Config) { c.Sockets = reservedSockets + 4 }, backend)
+	slots := n.frontend.maxConnections
+	var clients []testClient
+	for i := range slots + queued {
+		c := n.dial(t)
+		c.sendPost(t, fmt.Sprint("q", i), "60")
+		clients = append(clients, c)
+	}
+	waitUntil(t, "all slots to be taken by open requests", func() bool { return n.openRequests(t) == slots })
+	n.stop()
+	n.endServingPhase()
+	waitUntil(t, "the clients to be asked to close", n.frontend.connections.closing.Load)
+	delayVisibly() // the listener would be closed by then
+	close(release)
+	for i, c := range clients {
+		if s := c.status(t); s != http.StatusOK {
+			t.Errorf("client %d of %d is answered %d, want 200", i, len(clients), s)
+		}
+	}
+	if err := receive(t, n.ended, "the node's end"); err != nil {
+		t.Errorf("the node ends with %v", err)
+	}
+}
+
 // TestShutdownFinishesRequests guards against requests that fail because the node
 // shuts down: open ones, and those on new connections, which still arrive for a while
 // after SIGTERM. All have to be answered.
--- a/internal/sockets/tcpinfo.go
+++ b/internal/sockets/tcpinfo.go
@@ -97,6 +97,18 @@
 	return n
 }
 
+// QueueLength returns how many connections wait in the queue of l; 0 if that is not known.
+func QueueLength(l net.Listener) int {
+	length := 0
+	control(l, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			length = int(info.Unacked) // for a listener, the length of its queue
+		}
+	})
+	return length
+}
+
 // SetReceiveBuffer sets the size of the receive buffers of the connections that l will
 // accept, in bytes of data; the kernel allows as much again for its own overhead. It
 // returns errors.ErrUnsupported if l is not a syscall.Conn.
