Shutdown: answer the requests read behind a response before the connection ends

Cause: each response carried "Connection: close" once clients are asked to close, whatever had been read behind it.

Change: whether the connection ends is decided when the response is written, and it goes on while the whole head of a further request has been read.

Why it works: the requests behind are served in turn, with deadlines that end before the earliest SIGKILL.

--- a/internal/node/connlimit.go
+++ b/internal/node/connlimit.go
@@ -34,7 +34,7 @@
 	stopped        chan struct{} // closed by stopWaiting
 	memory         limiterMemory
 	processor      *fairshare.Divider
-	closing        atomic.Bool  // the node shuts down: each connection ends after its next response
+	closing        atomic.Bool  // the node shuts down: each connection ends once all requests read on it are answered
 	readAheadBytes atomic.Int64 // memory of the bytes read ahead on all connections together
 
 	mu          sync.Mutex // guards what follows
--- a/internal/node/fairness.go
+++ b/internal/node/fairness.go
@@ -22,7 +22,7 @@
 	if wait > 0 && c.limiter.memory.short() {
 		c.endWanted.Store(true) // it would hold memory while it waits
 	}
-	if wait > 0 && c.hasServedBefore() && !c.closesAfterResponse() {
+	if wait > 0 && c.hasServedBefore() && !c.hasToEnd() {
 		if !c.wait(wait) {
 			return false
 		}
@@ -49,7 +49,7 @@
 			return false
 		}
 		fairshare.Wait(min(left, maxDisconnectWait), fairshare.MaxWait, c.endWait)
-		if c.closesAfterResponse() {
+		if c.hasToEnd() {
 			break
 		}
 	}
@@ -57,9 +57,9 @@
 	return true
 }
 
-// closesAfterResponse reports whether the connection ends after the response that is
-// being made.
-func (c *clientConn) closesAfterResponse() bool {
+// hasToEnd reports whether the connection has to end: others wait for its slot or for
+// memory, or the node shuts down.
+func (c *clientConn) hasToEnd() bool {
 	return c.endWanted.Load() || c.limiter.closing.Load()
 }
 
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -101,20 +101,30 @@
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if c, ok := clientConnOf(r.Context()); ok {
 		c.startBody(r.ContentLength)
-		if c.closesAfterResponse() {
+		if c.endWanted.Load() {
 			w.Header().Set("Connection", "close")
 		}
 	}
 	switch r.URL.Path {
 	case "/health/ready":
+		endAtShutdown(w, r)
 		f.serveReadiness(w)
 	case "/health/live":
+		endAtShutdown(w, r)
 		io.WriteString(w, "ok\n")
 	default:
 		f.serveRequest(w, r)
 	}
 }
 
+// endAtShutdown makes a connection end after the response that is about to be written, if
+// the node shuts down. The requests that have been read behind it are answered first.
+func endAtShutdown(w http.ResponseWriter, r *http.Request) {
+	if c, ok := clientConnOf(r.Context()); ok && c.limiter.closing.Load() && !c.hasReadHead() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func (f *frontend) serveReadiness(w http.ResponseWriter) {
 	if !f.ready.Load() || f.stopping.Load() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -132,6 +142,7 @@
 	if resp, ok := f.awaitResponse(r.Context(), req); ok {
 		defer resp.memory.Release()
 		defer f.limitWrite(r.Context(), resp)()
+		endAtShutdown(w, r)
 		writeResponse(w, resp)
 		return
 	}
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bankshift/internal/fairshare"
+	"bankshift/internal/memory"
 )
 
 // Limits of the bytes read ahead. A client may send many requests at once; all of
@@ -172,6 +173,17 @@
 	return true
 }
 
+// hasReadHead reports whether the whole head of a further request has been read ahead.
+func (c *clientConn) hasReadHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var head memory.HeadMeter
+	for _, chunk := range c.readAhead.chunks {
+		head.Add(chunk.data)
+	}
+	return head.Ended()
+}
+
 // flooded reports whether the client has exceeded the read-ahead limit of a connection.
 // The caller holds c.mu.
 func (c *clientConn) flooded() bool { return c.readAhead.size > maxReadAhead }
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -318,6 +318,37 @@
 	}
 }
 
+// TestShutdownAnswersRequestsReadAhead guards against a shutdown that ends a connection
+// with requests that have been read behind an open one (review case 7).
+func TestShutdownAnswersRequestsReadAhead(t *testing.T) {
+	const count = 4
+	got, release := make(chan bool, count), make(chan bool)
+	n := startNode(t, startBackend(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			got <- true
+			<-release
+			io.WriteString(c, okResponse)
+		}
+	}))
+	c := n.dial(t)
+	io.WriteString(c, pipelinedPosts("q", count))
+	receive(t, got, "the first attempt")
+	n.stop()
+	n.endServingPhase()
+	waitUntil(t, "the clients to be asked to close", n.frontend.connections.closing.Load)
+	close(release)
+	for i := range count {
+		resp, err := http.ReadResponse(c.read, nil)
+		if err != nil {
+			t.Fatalf("request %d of %d: %v", i, count, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if last := i == count-1; resp.StatusCode != http.StatusOK || resp.Close != last {
+			t.Errorf("request %d of %d is answered %d, close %v; want 200, close %v", i, count, resp.StatusCode, resp.Close, last)
+		}
+	}
+}
+
 // TestShutdownFinishesRequests guards against requests that fail because the node
 // shuts down: open ones, and those on new connections, which still arrive for a while
 // after SIGTERM. All have to be answered.
