Tests: one backend that holds its answers, one pair of connections with a buffer size

Cause: both stood twice or more. No check is changed.

Result: the tests of internal/sockets and the shutdown tests passed under the race detector.

--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -322,14 +322,8 @@
 // with requests that have been read behind an open one (review case 7).
 func TestShutdownAnswersRequestsReadAhead(t *testing.T) {
 	const count = 4
-	got, release := make(chan bool, count), make(chan bool)
-	n := startNode(t, startBackend(t, func(_ int, c net.Conn, r *bufio.Reader) {
-		for readRequest(r) != nil {
-			got <- true
-			<-release
-			io.WriteString(c, okResponse)
-		}
-	}))
+	backend, got, release := startReleasedBackend(t)
+	n := startNode(t, backend)
 	c := n.dial(t)
 	io.WriteString(c, pipelinedPosts("q", count))
 	receive(t, got, "the first attempt")
@@ -353,14 +347,8 @@
 // shuts down: open ones, and those on new connections, which still arrive for a while
 // after SIGTERM. All have to be answered.
 func TestShutdownFinishesRequests(t *testing.T) {
-	release, got := make(chan struct{}), make(chan bool, 2)
-	n := startNode(t, startBackend(t, func(_ int, c net.Conn, r *bufio.Reader) {
-		for readRequest(r) != nil {
-			got <- true
-			<-release
-			io.WriteString(c, okResponse)
-		}
-	}))
+	backend, got, release := startReleasedBackend(t)
+	n := startNode(t, backend)
 	responses := make(chan clientResponse, 2)
 	send := func(id string) { responses <- sendRequest(t, n.request(t, "GET", "saldo", id, "20", nil)) }
 	go send("before")
--- a/internal/node/testbackend_test.go
+++ b/internal/node/testbackend_test.go
@@ -94,6 +94,19 @@
 	}), received
 }
 
+// startReleasedBackend starts a backend that sends a value on got for each request, and
+// answers none before release is closed.
+func startReleasedBackend(t *testing.T) (address string, got chan bool, release chan struct{}) {
+	got, release = make(chan bool, 1000), make(chan struct{})
+	return startBackend(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			got <- true
+			<-release
+			io.WriteString(c, okResponse)
+		}
+	}), got, release
+}
+
 // startHoldingBackend starts a backend that sends the ID of each request on received
 // and answers the request when a value is sent on the channel that release returns for
 // its ID.
--- a/internal/sockets/tcpinfo_test.go
+++ b/internal/sockets/tcpinfo_test.go
@@ -43,6 +43,32 @@
 	}
 }
 
+// connectionPair returns both sides of a connection, the accepted one with a receive buffer
+// of the given size; 0: the default.
+func connectionPair(t *testing.T, buffer int) (accepted, client net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if buffer > 0 {
+		if err := SetReceiveBuffer(ln, buffer); err != nil {
+			t.Fatal(err)
+		}
+	}
+	client, err = net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err = ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close(); client.Close() })
+	return accepted, client
+}
+
 // endLimit is the time within which the end of a connection must be seen.
 const endLimit = 100 * time.Millisecond
 
@@ -62,26 +88,7 @@
 }
 
 func testEndIsSeenOrWindowIsFull(t *testing.T, buffer, size, piece int) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	if buffer > 0 {
-		if err := SetReceiveBuffer(ln, buffer); err != nil {
-			t.Fatal(err)
-		}
-	}
-	client, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	c, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c, client := connectionPair(t, buffer)
 	client.SetWriteDeadline(time.Now().Add(time.Second))
 	for left := make([]byte, size); len(left) > 0; left = left[min(piece, len(left)):] {
 		if _, err := client.Write(left[:min(piece, len(left))]); err != nil {
@@ -111,24 +118,7 @@
 // holds less than half of its size.
 func TestWindowIsOpen(t *testing.T) {
 	const buffer = 128 << 10
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	if err := SetReceiveBuffer(ln, buffer); err != nil {
-		t.Fatal(err)
-	}
-	client, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	c, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c, client := connectionPair(t, buffer)
 	for sent := 0; sent < buffer/2; sent += 1000 {
 		if _, err := client.Write(make([]byte, 1000)); err != nil {
 			t.Fatal(err)
