Answer clients that send more than 128 KiB behind an open request

Cause: the node aborted the connection, because the client's end could not be seen behind bytes that are not read. Nothing asked whether it could be seen.

Change: nothing is aborted. What exceeds 128 KiB waits in the kernel's buffer; when that is full, no attempt begins and the request is rejected.

Tests: TestReadAheadIsLimited and TestLongNextRequest wanted the abort, which is the fault. They now want that no more than the limit and one read is held, that the client cannot send on, and an answer to each request.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -215,7 +215,6 @@
 	c.endReadAheadPause() // it may be longer than it may be now
 	c.clearRequestTimes()
 	c.applyDeadline()
-	c.abortIfFlooded()
 }
 
 // setActive records that the connection carries a request whose head has been read,
--- a/internal/node/connlimit.go
+++ b/internal/node/connlimit.go
@@ -237,8 +237,8 @@
 }
 
 // connContext returns the context for the requests of a connection. It is
-// canceled when the client is found to have disconnected, or has exceeded the
-// read-ahead limit after an open request. It is an http.Server.ConnContext hook.
+// canceled when the client is found to have disconnected. It is an
+// http.Server.ConnContext hook.
 func (l *connectionLimiter) connContext(ctx context.Context, c net.Conn) context.Context {
 	conn, ok := c.(*clientConn)
 	if !ok {
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -10,9 +10,8 @@
 )
 
 // Limits of the bytes read ahead. A client may send many requests at once; all of
-// them are served, one after the other. The connection of a client that exceeds
-// maxReadAhead after a request that is still open is aborted. While all connections
-// together exceed their share, less is read ahead and the rest waits in the kernel. No
+// them are answered, one after the other. What exceeds maxReadAhead waits in the kernel.
+// While all connections together exceed their share, less is read ahead. No
 // attempt begins while the rest does not fit there; see awaitClientState.
 const (
 	maxReadAhead       = 128 << 10 // for one connection
@@ -20,13 +19,13 @@
 	minReadAheadScarce = 4 << 10   // the same, at least
 	defaultReadAhead   = 4 << 20   // share of all connections of a limiter together, unless limitMemory sets another
 
+	readAheadChunkSize = 2 << 10 // most that one read adds
+
 	// receiveBuffer is the size of the kernel's receive buffer of a connection. The client's
 	// end is seen behind as much, however little is read ahead.
 	receiveBuffer = maxReadAhead
 )
 
-var errFlooded = errors.New("client exceeded the read-ahead limit while its request was open")
-
 // takeReadAhead copies bytes that were read ahead to b and returns their number. They
 // belong to one part of a message; see countReceived. The caller holds c.mu.
 func (c *clientConn) takeReadAhead(b []byte, background bool) int {
@@ -86,7 +85,7 @@
 // readAheadLoop reads ahead until the client disconnects, the limit is reached
 // or Read interrupts it to read from Conn itself.
 func (c *clientConn) readAheadLoop() {
-	var chunk [2048]byte
+	var chunk [readAheadChunkSize]byte
 	for {
 		n, err := c.Conn.Read(chunk[:])
 		began := time.Now()
@@ -142,7 +141,6 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.abort(err)
 	}
-	c.abortIfFlooded()
 	if err == nil && c.err == nil && !c.readAheadFull() {
 		return true
 	}
@@ -156,7 +154,7 @@
 func (c *clientConn) readAheadFull() bool {
 	limits := c.limiter.memory
 	scarce := c.limiter.readAheadBytes.Load() > limits.readAhead
-	return c.flooded() || scarce && c.readAhead.memory > limits.readAheadScarce
+	return c.readAhead.size > maxReadAhead || scarce && c.readAhead.memory > limits.readAheadScarce
 }
 
 // resumeReadAhead continues to read ahead if that has stopped because memory was scarce. It
@@ -184,20 +182,6 @@
 	return head.Ended()
 }
 
-// flooded reports whether the client has exceeded the read-ahead limit of a connection.
-// The caller holds c.mu.
-func (c *clientConn) flooded() bool { return c.readAhead.size > maxReadAhead }
-
-// abortIfFlooded aborts the connection of a client that has exceeded the
-// read-ahead limit after an open request. Once the request has been answered
-// the limit does not abort the connection: the client may already be sending
-// its next request, however long that is. The caller holds c.mu.
-func (c *clientConn) abortIfFlooded() {
-	if c.requestOpen && c.flooded() {
-		c.abort(errFlooded)
-	}
-}
-
 // abort cancels the connection's requests and makes reads return err once the
 // bytes read ahead are used up. Only the first call has an effect. The caller
 // holds c.mu.
