--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -28,7 +28,7 @@
 // acceptor accepts connections from a listener and retries transient failures.
 // It also estimates, without help from the kernel, since when each connection
 // may have waited in the listener's queue. The estimate is used where
-// sockets.SinceLastReceived returns 0. An acceptor is not safe for concurrent
+// sockets.State.SinceReceived is 0. An acceptor is not safe for concurrent
 // use.
 type acceptor struct {
 	net.Listener
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -81,40 +81,24 @@
 	f.connections.closing.Store(true)
 
 	closedBy := began.Add(f.phases.closed)
-	f.drainUntil(began.Add(f.phases.accepted))
-	f.drainWhileQueued(ln, began.Add(f.phases.answered))
+	f.drainWhile(func() bool { return true }, began.Add(f.phases.accepted))
+	// What waits in the listener's queue is reset with it, although it may hold requests.
+	f.drainWhile(func() bool { return sockets.QueueLength(ln) > 0 }, began.Add(f.phases.answered))
 	ln.Close()
-	f.drainWhileOpen(closedBy)
+	isOpen := func() bool { return f.connections.openConnections() > 0 }
+	f.drainWhile(isOpen, closedBy)
 	f.connections.stopWaiting() // until here, the connection that was accepted last may wait for a slot
 	<-served                    // before Serve returns, srv.Close would close the listener a second time and fail
-	f.drainWhileOpen(closedBy)
+	f.drainWhile(isOpen, closedBy)
 	// All requests have been answered. No complete request was received on the
 	// connections that remain.
 	return srv.Close()
 }
 
-// drainUntil drains the idle connections until the deadline.
-func (f *frontend) drainUntil(deadline time.Time) {
-	for time.Now().Before(deadline) {
-		f.connections.drain(time.Now())
-		time.Sleep(drainInterval)
-	}
-}
-
-// drainWhileQueued drains the idle connections while others wait in the listener's queue,
-// at most until the deadline. The queue is reset with the listener, although its clients
-// may have sent requests.
-func (f *frontend) drainWhileQueued(ln net.Listener, deadline time.Time) {
-	for time.Now().Before(deadline) && sockets.QueueLength(ln) > 0 {
-		f.connections.drain(time.Now())
-		time.Sleep(drainInterval)
-	}
-}
-
-// drainWhileOpen drains the idle connections until no connection is open, at most
-// until the deadline.
-func (f *frontend) drainWhileOpen(deadline time.Time) {
-	for time.Now().Before(deadline) && f.connections.openConnections() > 0 {
+// drainWhile drains the idle connections while a condition holds, at most until the
+// deadline.
+func (f *frontend) drainWhile(holds func() bool, deadline time.Time) {
+	for time.Now().Before(deadline) && holds() {
 		f.connections.drain(time.Now())
 		time.Sleep(drainInterval)
 	}
--- a/internal/sockets/tcpinfo.go
+++ b/internal/sockets/tcpinfo.go
@@ -67,9 +67,6 @@
 	}, info.Bytes_received
 }
 
-// SinceLastReceived returns the time since c last received data; see State.
-func SinceLastReceived(c net.Conn) time.Duration { return Inspect(c).SinceReceived }
-
 // PeerClosed reports whether the peer has ended the connection or reset it. Unlike Peek,
 // it also detects an end behind data that has not been read.
 func PeerClosed(c net.Conn) bool { return Inspect(c).PeerClosed }
@@ -127,13 +124,19 @@
 // errors.ErrUnsupported if that is not a syscall.Conn, and an error if it has been
 // closed.
 func control(c any, f func(fd int)) error {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := rawConn(c)
 	if err != nil {
 		return err
 	}
 	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
+
+// rawConn gives access to the descriptor of a connection or a listener; see control for its
+// errors.
+func rawConn(c any) (syscall.RawConn, error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
--- a/internal/sockets/tcpinfo_test.go
+++ b/internal/sockets/tcpinfo_test.go
@@ -32,13 +32,13 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	if age := SinceLastReceived(c); age < wait-tick {
+	if age := Inspect(c).SinceReceived; age < wait-tick {
 		t.Errorf("%v since the last data, want at least %v", age, wait)
 	}
 	pipe, end := net.Pipe()
 	defer pipe.Close()
 	defer end.Close()
-	if age := SinceLastReceived(pipe); age != 0 {
+	if age := Inspect(pipe).SinceReceived; age != 0 {
 		t.Errorf("%v for a pipe, want 0", age)
 	}
 }
--- a/internal/sockets/unread.go
+++ b/internal/sockets/unread.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -19,11 +18,7 @@
 	if n <= 0 {
 		return nil
 	}
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := rawConn(c)
 	if err != nil {
 		return err
 	}
@@ -40,20 +35,14 @@
 // or because of the returned error.
 func hasUnread(fd, n int) (done bool, err error) {
 	unread, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
-	switch {
-	case err != nil:
+	if err != nil {
 		return true, errors.ErrUnsupported
-	case unread >= n:
+	}
+	if unread >= n {
 		return true, nil
-	case ended(fd):
+	}
+	if state, _ := inspect(fd); state.PeerClosed {
 		return true, io.ErrUnexpectedEOF
 	}
 	return false, nil
 }
-
-// ended reports whether the peer has ended the connection or it is broken, also behind
-// unread bytes.
-func ended(fd int) bool {
-	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	return err == nil && peerClosed(info)
-}
